--- a/bulrushrun/claims/WriteBatcher.h
+++ b/bulrushrun/claims/WriteBatcher.h
@@ -2,7 +2,7 @@
 
 #include "bulrushrun/claims/WritePacer.h"
 #include "bulrushrun/host/Host.h"
-#include "bulrushrun/platform/Table.h"
+#include "bulrushrun/store/Table.h"
 
 #include <algorithm>
 #include <deque>
--- a/bulrushrun/configuration/ConfigurationSync.h
+++ b/bulrushrun/configuration/ConfigurationSync.h
@@ -4,7 +4,7 @@
 #include "bulrushrun/configuration/DocumentReader.h"
 #include "bulrushrun/host/Events.h"
 #include "bulrushrun/host/Host.h"
-#include "bulrushrun/platform/WholeExchange.h"
+#include "bulrushrun/store/WholeExchange.h"
 
 #include <functional>
 #include <memory>
--- /dev/null
+++ b/bulrushrun/discovery/TargetTable.cpp
@@ -0,0 +1,143 @@
+#include "bulrushrun/discovery/TargetTable.h"
+
+namespace bulrushrun {
+
+TargetTable::Change TargetTable::update(const TargetEntry& aEntry, TimePoint aNow)
+{
+  const auto found = mTargets.find(aEntry.mId);
+  const bool known = found != mTargets.end();
+  const bool restarted = known && found->second.mEntry.mIncarnation != aEntry.mIncarnation;
+  if (known && !restarted && aEntry.mIncarnation < found->second.mEntry.mIncarnation) {
+    return Change::Nothing;
+  }
+  const bool wasDraining = known && !restarted && found->second.mEntry.mDraining;
+  if (known) {
+    mByService[found->second.mEntry.mService].erase(aEntry.mId);
+  }
+  KnownTarget& target = mTargets[aEntry.mId];
+  const bool moved = known && (target.mEntry.mEndpoint != aEntry.mEndpoint);
+  if (!known || restarted) {
+    target = {};
+    target.mFirstSeen = aNow;
+  }
+  target.mEntry = aEntry;
+  // A target that announced its departure does not come back within the same life.
+  target.mEntry.mDraining = aEntry.mDraining || wasDraining;
+  target.mHash = hashText(aEntry.mId.text());
+  target.mVanishedAt.reset();
+  target.mReplaced = target.mReplaced && !moved;
+  if (aEntry.mColdRemaining > Duration{ 0 }) {
+    target.mColdUntil = std::max(target.mColdUntil, aNow + aEntry.mColdRemaining);
+  }
+  mByService[aEntry.mService].insert(aEntry.mId);
+  if (!known) {
+    return Change::Added;
+  }
+  if (restarted) {
+    return Change::Restarted;
+  }
+  return target.mEntry.mDraining && !wasDraining ? Change::Draining : Change::Updated;
+}
+
+void TargetTable::drop(std::map<TargetId, KnownTarget>::iterator aTarget)
+{
+  mByService[aTarget->second.mEntry.mService].erase(aTarget->first);
+  mTargets.erase(aTarget);
+}
+
+bool TargetTable::remove(const TargetId& aId, TimePoint aNow)
+{
+  const auto found = mTargets.find(aId);
+  if (found == mTargets.end() || found->second.mVanishedAt) {
+    return false;
+  }
+  if (found->second.mEntry.mDraining || found->second.mReplaced) {
+    drop(found);
+  } else {
+    found->second.mVanishedAt = aNow;
+  }
+  return true;
+}
+
+void TargetTable::retain(const std::set<TargetId>& aListed, TimePoint aNow)
+{
+  std::vector<TargetId> missing;
+  for (const auto& [id, target] : mTargets) {
+    if (!aListed.contains(id)) {
+      missing.push_back(id);
+    }
+  }
+  for (const TargetId& id : missing) {
+    remove(id, aNow);
+  }
+}
+
+void TargetTable::setReplaced(const TargetId& aId)
+{
+  const auto found = mTargets.find(aId);
+  if (found != mTargets.end()) {
+    found->second.mReplaced = true;
+  }
+}
+
+void TargetTable::setCold(const TargetId& aId, TimePoint aUntil)
+{
+  const auto found = mTargets.find(aId);
+  if (found != mTargets.end()) {
+    found->second.mColdUntil = std::max(found->second.mColdUntil, aUntil);
+  }
+}
+
+void TargetTable::setZoneCold(const ZoneName& aZone, TimePoint aUntil)
+{
+  for (auto target = mTargets.begin(); target != mTargets.end(); ++target) {
+    if (target->second.mEntry.mZone == aZone) {
+      target->second.mColdUntil = std::max(target->second.mColdUntil, aUntil);
+    }
+  }
+}
+
+void TargetTable::sweep(TimePoint aNow)
+{
+  for (auto target = mTargets.begin(); target != mTargets.end();) {
+    const auto next = std::next(target);
+    if (target->second.mVanishedAt && aNow - *target->second.mVanishedAt >= kVanishedSpan) {
+      drop(target);
+    }
+    target = next;
+  }
+}
+
+const KnownTarget* TargetTable::find(const TargetId& aId) const
+{
+  const auto found = mTargets.find(aId);
+  return found == mTargets.end() ? nullptr : &found->second;
+}
+
+std::vector<const KnownTarget*> TargetTable::usable(const ServiceName& aService,
+                                                    TimePoint aNow) const
+{
+  std::vector<const KnownTarget*> listed;
+  std::vector<const KnownTarget*> vanished;
+  const auto service = mByService.find(aService);
+  if (service == mByService.end()) {
+    return listed;
+  }
+  for (const TargetId& id : service->second) {
+    const KnownTarget& target = mTargets.at(id);
+    if (target.mEntry.mDraining || target.mReplaced) {
+      continue;
+    }
+    if (!target.mVanishedAt) {
+      listed.push_back(&target);
+    } else if (aNow - *target.mVanishedAt < kVanishedSpan) {
+      vanished.push_back(&target);
+    }
+  }
+  if (vanished.size() > listed.size()) {
+    listed.insert(listed.end(), vanished.begin(), vanished.end());
+  }
+  return listed;
+}
+
+} // namespace bulrushrun
--- /dev/null
+++ b/bulrushrun/discovery/TargetTable.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "bulrushrun/discovery/TargetEntry.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace bulrushrun {
+
+/// \brief One registered target, with what this instance concludes about its life.
+struct KnownTarget
+{
+  TargetEntry mEntry;
+  std::uint64_t mHash = 0;
+  TimePoint mFirstSeen;
+  /// End of the cold phase as far as known.
+  TimePoint mColdUntil;
+  /// Set when the entry vanished without the target having announced that it leaves.
+  std::optional<TimePoint> mVanishedAt;
+  /// A target that answered under another name: its address was taken over.
+  bool mReplaced = false;
+};
+
+/// \brief All targets that are registered, by service. Pure.
+///
+/// An entry that vanishes may be a crash, a silent departure, or a heartbeat that could not be
+/// written while the store was away. Such a target goes on serving for a while; it is used as a
+/// last resort when more of its service vanished than stayed.
+class TargetTable
+{
+public:
+  /// \brief Span for which a vanished target may still be used as a last resort. Shorter than the
+  /// time for which leaving targets go on serving.
+  static constexpr Duration kVanishedSpan = std::chrono::milliseconds(1800);
+
+  /// \brief What an update changed, for the log.
+  enum class Change
+  {
+    Nothing,
+    Added,
+    Restarted,
+    Draining,
+    Updated,
+  };
+
+  /// \brief Takes over a registration.
+  Change update(const TargetEntry& aEntry, TimePoint aNow);
+  /// \brief The entry of a target was removed. \returns true when it was known
+  bool remove(const TargetId& aId, TimePoint aNow);
+  /// \brief Removes all targets that are not listed.
+  void retain(const std::set<TargetId>& aListed, TimePoint aNow);
+  /// \brief Another target answered at the address of this one.
+  void setReplaced(const TargetId& aId);
+  /// \brief The target said how long it stays cold.
+  void setCold(const TargetId& aId, TimePoint aUntil);
+  /// \brief The targets of this zone may have become cold.
+  void setZoneCold(const ZoneName& aZone, TimePoint aUntil);
+  /// \brief Forgets vanished targets whose span is over.
+  void sweep(TimePoint aNow);
+
+  /// \brief \returns the target, or nullptr.
+  const KnownTarget* find(const TargetId& aId) const;
+  /// \brief \returns the targets of a service that may get new work, in order of their ids.
+  std::vector<const KnownTarget*> usable(const ServiceName& aService, TimePoint aNow) const;
+  std::size_t size() const { return mTargets.size(); }
+
+private:
+  void drop(std::map<TargetId, KnownTarget>::iterator aTarget);
+
+  std::map<TargetId, KnownTarget> mTargets;
+  std::map<ServiceName, std::set<TargetId>> mByService;
+};
+
+} // namespace bulrushrun
--- a/bulrushrun/forwarding/RequestMachine.cpp
+++ b/bulrushrun/forwarding/RequestMachine.cpp
@@ -120,7 +120,7 @@
       return RequestAction::StreamAnswer;
     case RequestEvent::ExchangeBroken:
       mMayHaveRun = true;
-      if (mPolicy == RepeatPolicy::Once) {
+      if (mPolicy == RepeatPolicy::Once || mPolicy == RepeatPolicy::Single) {
         return giveUp();
       }
       mState = RequestState::Queued;
--- a/bulrushrun/forwarding/RequestMachine.h
+++ b/bulrushrun/forwarding/RequestMachine.h
@@ -33,6 +33,8 @@
   Keyed,
   /// It needs a claim before it is sent, and is sent at most once.
   Once,
+  /// It is sent at most once, and needs no claim: it reaches one instance only.
+  Single,
 };
 
 /// \brief What happens to a carried request.
--- a/bulrushrun/health/TargetHealth.h
+++ b/bulrushrun/health/TargetHealth.h
@@ -2,7 +2,7 @@
 
 #include "bulrushrun/configuration/Service.h"
 #include "bulrushrun/host/Host.h"
-#include "bulrushrun/platform/WholeExchange.h"
+#include "bulrushrun/store/WholeExchange.h"
 
 #include <functional>
 #include <set>
--- a/bulrushrun/host/Events.h
+++ b/bulrushrun/host/Events.h
@@ -14,13 +14,21 @@
 inline constexpr Event kDrainStarted{ 1003, Severity::Info, "drain-started" };
 inline constexpr Event kDrainEnded{ 1004, Severity::Info, "drain-ended" };
 inline constexpr Event kDrainLimitReached{ 1005, Severity::Warn, "drain-limit-reached" };
+inline constexpr Event kSettingsAdopted{ 1006, Severity::Info, "settings-adopted" };
+inline constexpr Event kSettingsRefused{ 1007, Severity::Error, "settings-refused" };
 inline constexpr Event kConfigurationAdopted{ 2001, Severity::Info, "configuration-adopted" };
 inline constexpr Event kConfigurationRefused{ 2002, Severity::Error, "configuration-refused" };
 inline constexpr Event kConfigurationFetchFailed{ 2003,
                                                   Severity::Debug,
                                                   "configuration-fetch-failed" };
+inline constexpr Event kPlanAdopted{ 2004, Severity::Info, "plan-adopted" };
+inline constexpr Event kPlanRefused{ 2005, Severity::Error, "plan-refused" };
+inline constexpr Event kZoneEvacuated{ 2006, Severity::Info, "zone-evacuated" };
+inline constexpr Event kZoneRestored{ 2007, Severity::Info, "zone-restored" };
 inline constexpr Event kPlatformUnavailable{ 3001, Severity::Warn, "platform-unavailable" };
 inline constexpr Event kPlatformBack{ 3002, Severity::Info, "platform-back" };
+inline constexpr Event kFeedLost{ 3003, Severity::Warn, "feed-lost" };
+inline constexpr Event kFeedRegained{ 3004, Severity::Info, "feed-regained" };
 inline constexpr Event kClaimUnresolved{ 4001, Severity::Warn, "claim-unresolved" };
 inline constexpr Event kOutcomeUnknown{ 4002, Severity::Warn, "outcome-unknown" };
 inline constexpr Event kOutcomeNotStored{ 4003, Severity::Warn, "outcome-not-stored" };
@@ -28,6 +36,10 @@
 inline constexpr Event kTargetEjected{ 5001, Severity::Warn, "target-ejected" };
 inline constexpr Event kTargetBack{ 5002, Severity::Info, "target-back" };
 inline constexpr Event kTargetLeaving{ 5003, Severity::Info, "target-leaving" };
+inline constexpr Event kTargetAdded{ 5004, Severity::Info, "target-added" };
+inline constexpr Event kTargetVanished{ 5005, Severity::Info, "target-vanished" };
+inline constexpr Event kTargetEntryRefused{ 5006, Severity::Warn, "target-entry-refused" };
+inline constexpr Event kTargetReplaced{ 5007, Severity::Info, "target-replaced" };
 inline constexpr Event kMemberJoined{ 6001, Severity::Info, "member-joined" };
 inline constexpr Event kMemberSuspected{ 6002, Severity::Debug, "member-suspected" };
 inline constexpr Event kMemberDead{ 6003, Severity::Warn, "member-dead" };
@@ -36,15 +48,21 @@
 inline constexpr Event kMemberLeft{ 6006, Severity::Info, "member-left" };
 inline constexpr Event kAdministrationDenied{ 7001, Severity::Warn, "administration-denied" };
 inline constexpr Event kAdministrationChange{ 7002, Severity::Info, "administration-change" };
+inline constexpr Event kRequestEnded{ 8001, Severity::Info, "request-ended" };
+inline constexpr Event kRequestRefused{ 8002, Severity::Info, "request-refused" };
+inline constexpr Event kSendFailed{ 8003, Severity::Info, "send-failed" };
 
 inline constexpr std::array kAll{
-  kInstanceStarted,     kInstanceReady,        kDrainStarted,         kDrainEnded,
-  kDrainLimitReached,   kConfigurationAdopted, kConfigurationRefused, kConfigurationFetchFailed,
-  kPlatformUnavailable, kPlatformBack,         kClaimUnresolved,      kOutcomeUnknown,
-  kOutcomeNotStored,    kAnswerCrossed,        kTargetEjected,        kTargetBack,
-  kTargetLeaving,       kMemberJoined,         kMemberSuspected,      kMemberDead,
-  kMemberLeaving,       kMessageDropped,       kMemberLeft,           kAdministrationDenied,
-  kAdministrationChange
+  kInstanceStarted,      kInstanceReady,        kDrainStarted,         kDrainEnded,
+  kDrainLimitReached,    kConfigurationAdopted, kConfigurationRefused, kConfigurationFetchFailed,
+  kPlatformUnavailable,  kPlatformBack,         kClaimUnresolved,      kOutcomeUnknown,
+  kOutcomeNotStored,     kAnswerCrossed,        kTargetEjected,        kTargetBack,
+  kTargetLeaving,        kMemberJoined,         kMemberSuspected,      kMemberDead,
+  kMemberLeaving,        kMessageDropped,       kMemberLeft,           kAdministrationDenied,
+  kAdministrationChange, kSettingsAdopted,      kSettingsRefused,      kPlanAdopted,
+  kPlanRefused,          kZoneEvacuated,        kZoneRestored,         kFeedLost,
+  kFeedRegained,         kTargetAdded,          kTargetVanished,       kTargetEntryRefused,
+  kTargetReplaced,       kRequestEnded,         kRequestRefused,       kSendFailed
 };
 
 } // namespace bulrushrun::events
--- a/bulrushrun/host/Host.h
+++ b/bulrushrun/host/Host.h
@@ -3,7 +3,7 @@
 #include "bulrushrun/host/EventLog.h"
 #include "bulrushrun/host/Http.h"
 #include "bulrushrun/host/Responder.h"
-#include "bulrushrun/platform/Table.h"
+#include "bulrushrun/store/Table.h"
 
 #include <concepts>
 #include <functional>
--- a/bulrushrun/host/Http.h
+++ b/bulrushrun/host/Http.h
@@ -46,6 +46,8 @@
   std::string mPath;
   Headers mHeaders;
   std::string mBody;
+  /// Host that the caller named; the address of the other end where empty.
+  std::string mAuthority = {};
 };
 
 /// \brief Status and headers of an answer; the body follows.
@@ -54,7 +56,9 @@
   int mStatus = 200;
   Headers mHeaders;
   /// Body length in bytes, when it is known in advance.
-  std::optional<std::uint64_t> mLength;
+  std::optional<std::uint64_t> mLength = {};
+  /// The connection is to be closed behind the answer.
+  bool mCloseAfter = false;
 };
 
 /// \brief Answer with its whole body.
@@ -78,6 +82,10 @@
 /// \brief Receives the events of one exchange. No event follows mOnEnd.
 struct ExchangeListener
 {
+  /// An answer without a length may end with its connection.
+  bool mEndsWithConnection = false;
+  /// \returns false for an answer to another request, which is skipped; may be empty.
+  std::function<bool(const ResponseHead&)> mIsMine;
   std::function<void(const ResponseHead&)> mOnHead;
   /// \returns false to stop reading until Host::resumeExchange.
   std::function<bool(std::string_view)> mOnBody;
--- a/bulrushrun/limits.h
+++ b/bulrushrun/limits.h
@@ -1,6 +1,9 @@
 #pragma once
 
 /// \file
-/// \brief Umbrella of the limits slice: how much traffic may shift.
+/// \brief Umbrella of the limits slice: how much traffic may shift, be repeated, or go to cold
+/// targets. Shares of what is bounded for the fleet, without agreement.
 
+#include "bulrushrun/limits/ColdAdmission.h"
+#include "bulrushrun/limits/RetryShare.h"
 #include "bulrushrun/limits/ShiftCap.h"
--- a/bulrushrun/net.h
+++ b/bulrushrun/net.h
@@ -18,3 +18,4 @@
 #include "bulrushrun/net/PeerSocket.h"
 // All of them behind the Host concept.
 #include "bulrushrun/net/DaemonHost.h"
+#include "bulrushrun/net/LoopHost.h"
--- a/bulrushrun/net/DaemonHost.h
+++ b/bulrushrun/net/DaemonHost.h
@@ -1,72 +1,31 @@
 #pragma once
 
 #include "bulrushrun/host.h"
-#include "bulrushrun/net/EventLogger.h"
-#include "bulrushrun/net/EventLoop.h"
-#include "bulrushrun/net/HttpClient.h"
-#include "bulrushrun/net/HttpResponder.h"
-#include "bulrushrun/net/PeerSocket.h"
-#include "bulrushrun/platform.h"
+#include "bulrushrun/net/LoopHost.h"
+#include "bulrushrun/store.h"
 
-#include <random>
-#include <string>
 #include <utility>
 
 namespace bulrushrun {
 
-/// \brief Surroundings of a node in the daemon: the real clock, sockets and log.
+/// \brief Surroundings of a node in the daemon: those of the loop, and the platform's client.
 /// \sa Host
-class DaemonHost
+class DaemonHost : public LoopHost
 {
 public:
-  using ResponderType = HttpResponder;
-
   DaemonHost(EventLoop& aLoop,
              const Endpoint& aPlatform,
              const Endpoint& aPeer,
              PeerSocket::Receiver aReceiver)
-    : mLoop(aLoop)
-    , mClient(aLoop)
-    , mPeers(aLoop, aPeer, std::move(aReceiver))
+    : LoopHost(aLoop, aPeer, std::move(aReceiver))
     , mPlatform(*this, aPlatform)
-    , mRandom((std::uint64_t{ std::random_device{}() } << 32U) | std::random_device{}())
-  {
-  }
-
-  TimePoint now() const { return EventLoop::now(); }
-  UnixSeconds wallTime() const
-  {
-    return std::chrono::duration_cast<UnixSeconds>(
-      std::chrono::system_clock::now().time_since_epoch());
-  }
-  Random& random() { return mRandom; }
-
-  TimerId after(Duration aDelay, TimerQueue::Callback aCallback)
-  {
-    return mLoop.after(aDelay, std::move(aCallback));
-  }
-  void cancelTimer(TimerId aTimer) { mLoop.cancelTimer(aTimer); }
-
-  ExchangeId startExchange(const Endpoint& aEndpoint,
-                           const HttpRequest& aRequest,
-                           ConnectionUse aUse,
-                           ExchangeListener aListener)
   {
-    return mClient.start(aEndpoint, aRequest, aUse, std::move(aListener));
   }
-  void abortExchange(ExchangeId aExchange) { mClient.abort(aExchange); }
-  void resumeExchange(ExchangeId aExchange) { mClient.resume(aExchange); }
 
-  void sendToPeer(const Endpoint& aPeer, const std::string& aBytes) { mPeers.send(aPeer, aBytes); }
-  void log(const Event& aEvent, const std::string& aText) { writeEvent(aEvent, aText); }
   PlatformClient<DaemonHost>& platform() { return mPlatform; }
 
 private:
-  EventLoop& mLoop;
-  HttpClient mClient;
-  PeerSocket mPeers;
   PlatformClient<DaemonHost> mPlatform;
-  Random mRandom;
 };
 
 static_assert(Host<DaemonHost>);
--- a/bulrushrun/net/HttpClient.cpp
+++ b/bulrushrun/net/HttpClient.cpp
@@ -15,17 +15,20 @@
 
 HttpConnection* HttpClient::takeIdle(const Endpoint& aEndpoint, ConnectionUse aUse)
 {
-  std::vector<HttpConnection*>& idle = mIdle[aEndpoint];
-  if (idle.empty()) {
-    return nullptr;
-  }
-  HttpConnection* newest = idle.back();
-  const bool proven = EventLoop::now() - newest->provenAt() < kProvenSpan;
-  if (aUse == ConnectionUse::Proven && !proven) {
-    return nullptr;
+  const auto found = mIdle.find(aEndpoint);
+  while (found != mIdle.end() && !found->second.empty()) {
+    HttpConnection* newest = found->second.back();
+    const Duration idle = EventLoop::now() - newest->provenAt();
+    if (idle < newest->idleLimit()) {
+      if (aUse == ConnectionUse::Proven && idle >= kProvenSpan) {
+        return nullptr;
+      }
+      found->second.pop_back();
+      return newest;
+    }
+    discard(*newest);
   }
-  idle.pop_back();
-  return newest;
+  return nullptr;
 }
 
 HttpConnection* HttpClient::connect(const Endpoint& aEndpoint)
--- a/bulrushrun/net/HttpConnection.cpp
+++ b/bulrushrun/net/HttpConnection.cpp
@@ -4,6 +4,9 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <array>
+#include <charconv>
 #include <limits>
 #include <utility>
 
@@ -13,11 +16,23 @@
 
 constexpr Duration kConnectLimit = std::chrono::seconds(1);
 constexpr int kReceiveBufferBytes = 64 * 1024;
+/// Sent bytes that nobody acknowledges for this long show that the connection is dead.
+constexpr int kUnacknowledgedMillis = 1500;
+/// Probes of a silent connection: first after, then every, and how many (TCP keep-alive).
+constexpr int kProbeAfterSeconds = 2;
+constexpr int kProbeEverySeconds = 1;
+constexpr int kProbes = 2;
+/// Idle time after which a connection is not reused when the other end names none: it names whole
+/// seconds only, so that a shorter time is not named.
+constexpr Duration kUnnamedIdleLimit = std::chrono::milliseconds(400);
+constexpr Duration kIdleMargin = std::chrono::milliseconds(500);
+constexpr std::int64_t kMaxIdleSeconds = 60;
 
 std::string serialise(const HttpRequest& aRequest, const Endpoint& aEndpoint)
 {
   std::string text = aRequest.mMethod + " " + aRequest.mPath + " HTTP/1.1\r\n";
-  text += "Host: " + aEndpoint.text() + "\r\n";
+  text +=
+    "Host: " + (aRequest.mAuthority.empty() ? aEndpoint.text() : aRequest.mAuthority) + "\r\n";
   for (const Header& header : aRequest.mHeaders) {
     if (!isHopByHop(header.mName) && !equalHeaderNames(header.mName, "host")) {
       text += header.mName + ": " + header.mValue + "\r\n";
@@ -30,6 +45,22 @@
   return text + "\r\n" + aRequest.mBody;
 }
 
+/// Lets the kernel find out that the other end is gone or cut off.
+void watchLiveness(int aDescriptor)
+{
+  const int yes = 1;
+  ::setsockopt(aDescriptor, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof(yes));
+  ::setsockopt(aDescriptor, SOL_SOCKET, SO_KEEPALIVE, &yes, sizeof(yes));
+  const std::array<std::pair<int, int>, 4> options{ { { TCP_KEEPIDLE, kProbeAfterSeconds },
+                                                      { TCP_KEEPINTVL, kProbeEverySeconds },
+                                                      { TCP_KEEPCNT, kProbes },
+                                                      { TCP_USER_TIMEOUT,
+                                                        kUnacknowledgedMillis } } };
+  for (const auto& [option, value] : options) {
+    ::setsockopt(aDescriptor, IPPROTO_TCP, option, &value, sizeof(value));
+  }
+}
+
 bool isBodilessStatus(unsigned aStatus)
 {
   return aStatus == 204 || aStatus == 304;
@@ -95,6 +126,8 @@
   mBusy = true;
   mSent = false;
   mWhole = false;
+  mSkipping = false;
+  mSkipped = false;
   mHead = {};
   http_parser_init(&mParser, HTTP_RESPONSE);
   mParser.data = this;
@@ -146,8 +179,7 @@
     return;
   }
   const int descriptor = h2o_socket_get_fd(aSocket);
-  const int yes = 1;
-  ::setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof(yes));
+  watchLiveness(descriptor);
   ::setsockopt(
     descriptor, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes, sizeof(kReceiveBufferBytes));
   self->mConnected = true;
@@ -174,7 +206,11 @@
 {
   HttpConnection* self = static_cast<HttpConnection*>(aSocket->data);
   if (aError != nullptr) {
-    self->fail(ExchangeEnd::Broken, "the connection closed before the answer ended");
+    if (aError == h2o_socket_error_closed && self->mBusy && self->mSent) {
+      self->onClosed();
+    } else {
+      self->fail(ExchangeEnd::Broken, "the connection broke before the answer ended");
+    }
     return;
   }
   if (!self->mBusy || !self->mSent) {
@@ -185,6 +221,32 @@
   self->parse();
 }
 
+/// The other end closed in order: the end of an answer that has no length, or a broken one.
+void HttpConnection::onClosed()
+{
+  http_parser_execute(&mParser, &mParserSettings, nullptr, 0);
+  if (mWhole) {
+    completeMessage();
+  } else {
+    fail(ExchangeEnd::Broken, "the connection closed before the answer ended");
+  }
+}
+
+/// Keep-Alive: timeout=N, in whole seconds.
+void HttpConnection::readKeepAlive()
+{
+  constexpr std::string_view kName = "timeout=";
+  const std::string* text = findHeader(mHead.mHeaders, "keep-alive");
+  const std::size_t at = text == nullptr ? std::string::npos : text->find(kName);
+  std::int64_t seconds = 0;
+  if (at != std::string::npos) {
+    const char* first = text->data() + at + kName.size();
+    std::from_chars(first, text->data() + text->size(), seconds);
+  }
+  seconds = std::clamp<std::int64_t>(seconds, 0, kMaxIdleSeconds);
+  mIdleLimit = seconds > 0 ? std::chrono::seconds(seconds) - kIdleMargin : kUnnamedIdleLimit;
+}
+
 void HttpConnection::parse()
 {
   h2o_socket_t* socket = mSocket;
@@ -210,7 +272,7 @@
 void HttpConnection::completeMessage()
 {
   const bool reusable =
-    http_should_keep_alive(&mParser) != 0 && mSocket->input->size == 0 && !mWriting;
+    http_should_keep_alive(&mParser) != 0 && mSocket->input->size == 0 && !mWriting && !mSkipped;
   const ExchangeListener listener = std::exchange(mListener, {});
   mBusy = false;
   mProvenAt = EventLoop::now();
@@ -263,14 +325,22 @@
   const bool chunked = (mParser.flags & F_CHUNKED) != 0;
   const bool hasLength = mParser.content_length != std::numeric_limits<std::uint64_t>::max();
   const bool bodiless = mHeadRequest || isBodilessStatus(mParser.status_code);
-  if (!chunked && !hasLength && !bodiless) {
+  if (!chunked && !hasLength && !bodiless && !mListener.mEndsWithConnection) {
     return kRefuse;
   }
   mHead.mStatus = static_cast<int>(mParser.status_code);
   if (hasLength && !chunked) {
     mHead.mLength = mParser.content_length;
   }
+  readKeepAlive();
+  const bool closing = http_should_keep_alive(&mParser) == 0;
   mHead.mHeaders = endToEndHeaders(mHead.mHeaders);
+  mHead.mCloseAfter = closing;
+  if (mListener.mIsMine && !mListener.mIsMine(mHead)) {
+    mSkipping = true;
+    mSkipped = true;
+    return kGoOn;
+  }
   if (mListener.mOnHead) {
     mListener.mOnHead(mHead);
   }
@@ -284,6 +354,9 @@
 {
   constexpr int kStopParsing = -1;
   HttpConnection* self = static_cast<HttpConnection*>(aParser->data);
+  if (self->mSkipping) {
+    return 0;
+  }
   const bool goOn = !self->mListener.mOnBody || self->mListener.mOnBody({ aAt, aLength });
   if (self->mSocket == nullptr) {
     return kStopParsing;
@@ -299,7 +372,7 @@
 int HttpConnection::onMessageComplete(http_parser* aParser)
 {
   HttpConnection* self = static_cast<HttpConnection*>(aParser->data);
-  if (aParser->status_code < 200) {
+  if (aParser->status_code < 200 || std::exchange(self->mSkipping, false)) {
     self->mHead = {};
     return 0;
   }
--- a/bulrushrun/net/HttpConnection.h
+++ b/bulrushrun/net/HttpConnection.h
@@ -14,7 +14,8 @@
 
 /// \brief One client connection: h2o's socket, with http-parser to verify where an answer ends.
 ///
-/// An answer whose end can't be verified (no length and not chunked) counts as broken.
+/// An answer whose end can't be verified (no length and not chunked) counts as broken, unless the
+/// listener accepts that it ends with its connection. Answers to other requests are skipped.
 class HttpConnection
 {
 public:
@@ -43,6 +44,8 @@
   const Endpoint& endpoint() const { return mEndpoint; }
   /// \brief \returns when the last exchange ended whole.
   TimePoint provenAt() const { return mProvenAt; }
+  /// \brief \returns how long the other end keeps the connection idle, less a margin.
+  Duration idleLimit() const { return mIdleLimit; }
 
 private:
   static void onConnect(h2o_socket_t* aSocket, const char* aError);
@@ -55,6 +58,8 @@
   static int onMessageComplete(http_parser* aParser);
 
   void onConnectLimit();
+  void onClosed();
+  void readKeepAlive();
   void send();
   void parse();
   int completeHead();
@@ -82,6 +87,9 @@
   bool mInValue = false;
   bool mPaused = false;
   bool mWhole = false;
+  bool mSkipping = false;
+  bool mSkipped = false;
+  Duration mIdleLimit;
 };
 
 } // namespace bulrushrun
--- a/bulrushrun/net/HttpResponder.cpp
+++ b/bulrushrun/net/HttpResponder.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <cerrno>
 #include <new>
 #include <utility>
 
@@ -57,6 +58,9 @@
     return;
   }
   mStarted = true;
+  if (aHead.mCloseAfter) {
+    mRequest->http1_is_persistent = 0;
+  }
   mRequest->res.status = aHead.mStatus;
   mRequest->res.reason = "";
   mRequest->res.content_length = aHead.mLength ? *aHead.mLength : SIZE_MAX;
@@ -116,7 +120,8 @@
   }
   char byte = 0;
   const int descriptor = h2o_socket_get_fd(connection->callbacks->get_socket(connection));
-  return ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+  const ssize_t got = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
 
 void HttpResponder::flush()
--- a/bulrushrun/net/HttpServer.cpp
+++ b/bulrushrun/net/HttpServer.cpp
@@ -30,6 +30,7 @@
   HttpRequest request;
   request.mMethod = view(aRequest.input.method);
   request.mPath = view(aRequest.input.path);
+  request.mAuthority = view(aRequest.input.authority);
   request.mHeaders.reserve(aRequest.headers.size);
   for (std::size_t i = 0; i < aRequest.headers.size; ++i) {
     const h2o_header_t& header = aRequest.headers.entries[i];
@@ -89,6 +90,12 @@
   h2o_socket_read_start(mListener, onAccept);
 }
 
+void HttpServer::setLimits(Duration aIdle, std::size_t aBodyBytes)
+{
+  mContext.http1.req_timeout.timeout = static_cast<std::uint64_t>(toMillis(aIdle));
+  mConfiguration.max_request_entity_size = aBodyBytes;
+}
+
 void HttpServer::close()
 {
   if (mListener != nullptr) {
--- a/bulrushrun/net/HttpServer.h
+++ b/bulrushrun/net/HttpServer.h
@@ -37,6 +37,9 @@
   HttpServer& operator=(HttpServer&&) = delete;
   ~HttpServer() = default;
 
+  /// \brief Sets how long a connection may stay idle, and how long a body may be, in bytes.
+  void setLimits(Duration aIdle, std::size_t aBodyBytes);
+
   /// \brief Closes the listening socket and lets connections end after their current request.
   void close();
 
--- a/bulrushrun/routing.h
+++ b/bulrushrun/routing.h
@@ -13,3 +13,5 @@
 // The queue before the owned targets.
 #include "bulrushrun/routing/PooledTarget.h"
 #include "bulrushrun/routing/ServicePool.h"
+// Routes by host and prefix, weighted splits.
+#include "bulrushrun/routing/RoutePlan.h"
--- /dev/null
+++ b/bulrushrun/steering/RequestCarrier.h
@@ -0,0 +1,144 @@
+#pragma once
+
+#include "bulrushrun/limits/RetryShare.h"
+#include "bulrushrun/steering/SteeredRequest.h"
+#include "bulrushrun/steering/TargetPicker.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+namespace bulrushrun {
+
+/// \brief State of the fleet that the carrier reads; owned by the instance.
+struct SteeringView
+{
+  std::shared_ptr<const RoutePlan> mPlan;
+  TargetTable mTargets;
+  PickContext mContext;
+  RetryBound mRetryBound;
+  /// Factor and constant of the bound on cold targets: rate x factor + slack.
+  double mColdFactor = 1;
+  double mColdSlack = 0;
+  /// Instances that may exist, and share what is bounded for the fleet.
+  std::size_t mInstances = 1;
+  /// A planned stop is under way: callers are to leave their connections.
+  bool mStopping = false;
+};
+
+/// \brief Counters of the carrier, for metrics.
+struct CarrierCounters
+{
+  std::uint64_t mAccepted = 0;
+  std::uint64_t mSends = 0;
+  std::uint64_t mRepeats = 0;
+  std::uint64_t mRefused = 0;
+  std::uint64_t mFailed = 0;
+  std::uint64_t mAnswered = 0;
+  std::uint64_t mCallersGone = 0;
+};
+
+/// \brief Carries requests from callers straight to targets.
+///
+/// The instance that took a request sends it; a request reaches one instance only, so that one that
+/// may not be repeated is sent at most once without any agreement. What may be done with a request
+/// is decided by its RequestMachine, where it goes by the TargetPicker.
+///
+/// \tparam Wire  translator of headers: readCall, readAnswer and stamp
+template<class HostType, class Wire>
+class RequestCarrier
+{
+public:
+  using ResponderType = typename HostType::ResponderType;
+  using ResponderPtr = std::shared_ptr<ResponderType>;
+
+  RequestCarrier(HostType& aHost, SteeringView& aView)
+    : mHost(aHost)
+    , mView(aView)
+  {
+  }
+
+  /// \brief Takes one request in.
+  void accept(HttpRequest aRequest, ResponderPtr aResponder);
+  /// \brief Ends requests whose callers have left, and forgets unknown targets.
+  void sweep();
+  /// \brief \returns requests in progress.
+  std::size_t inProgress() const { return mRequests.size(); }
+  const CarrierCounters& counters() const { return mCounters; }
+  /// \brief Sets what runs when an answer shows that a target leaves or was replaced.
+  void setOnTargetNews(std::function<void(const TargetId&, const AnswerFacts&)> aOnNews)
+  {
+    mOnTargetNews = std::move(aOnNews);
+  }
+
+private:
+  using Request = SteeredRequest<ResponderType>;
+
+  /// Longest answer that is held back until it is whole, so that a broken one can be repeated.
+  static constexpr std::size_t kHeldAnswerBytes = std::size_t{ 256 } * 1024;
+  /// Connections that may fail for one request.
+  static constexpr int kMaxUnreached = 3;
+  /// Deadline of a request that names none.
+  static constexpr Duration kDefaultTimeLeft = std::chrono::seconds(10);
+  /// Retry-After: part of the usual answer time, spread so that returns do not come together.
+  static constexpr Duration kMinRetryAfter = std::chrono::milliseconds(100);
+  static constexpr Duration kMaxRetryAfter = std::chrono::milliseconds(1500);
+  /// Least time that a repeat needs, as part of the usual answer time.
+  static constexpr double kLeastRepeatShare = 0.5;
+
+  // Admission.
+  void refuseOutright(ResponderType& aResponder, int aStatus, const std::string& aText);
+  bool exceedsLimits(const HttpRequest& aRequest, ResponderType& aResponder);
+  void watchCaller(Request& aRequest);
+  void onCallerGone(RequestId aId);
+
+  // Actions of the machine.
+  void apply(RequestId aId, RequestEvent aEvent);
+  void act(Request& aRequest, RequestAction aAction);
+  void dispatch(Request& aRequest);
+  void repeat(Request& aRequest);
+  bool mayRepeat(const Request& aRequest);
+  void sayNotRun(Request& aRequest);
+  void sayFailed(Request& aRequest);
+  void finish(Request& aRequest, const char* aOutcome, int aStatus);
+
+  // One exchange with a target.
+  void send(Request& aRequest, const Pick& aPick);
+  ExchangeListener listener(RequestId aId);
+  void onHead(RequestId aId, const ResponseHead& aHead);
+  bool onBody(RequestId aId, std::string_view aBytes);
+  void onEnd(RequestId aId, ExchangeEnd aEnd, const std::string& aReason);
+  void onWhole(Request& aRequest);
+  void onLimit(RequestId aId);
+  void startStreaming(Request& aRequest);
+  void dropSend(Request& aRequest);
+  void passHead(Request& aRequest, std::optional<std::uint64_t> aLength);
+  bool isTrustworthy(const TargetSend& aSend) const;
+
+  Request* find(RequestId aId);
+  PickQuery queryFor(const Request& aRequest) const;
+  PickContext contextFor(const Request& aRequest) const;
+  std::string retryAfter(const Request& aRequest);
+  Duration usualLatency(const ServiceName& aService) const;
+
+  HostType& mHost;
+  SteeringView& mView;
+  TargetPicker mPicker;
+  std::unordered_map<std::uint64_t, std::unique_ptr<Request>> mRequests;
+  std::map<ServiceName, RetryShare> mRetries;
+  std::map<ServiceName, Duration> mLatencies;
+  std::map<std::string, SplitDealer> mSplits;
+  std::function<void(const TargetId&, const AnswerFacts&)> mOnTargetNews;
+  CarrierCounters mCounters;
+  RequestId mLast;
+};
+
+} // namespace bulrushrun
+
+// Member functions, by duty: admission and the machine's actions.
+#include "bulrushrun/steering/CarrierAdmission.h"
+// Exchanges with targets.
+#include "bulrushrun/steering/CarrierExchange.h"
--- /dev/null
+++ b/bulrushrun/steering/SteeredRequest.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "bulrushrun/forwarding/RequestMachine.h"
+#include "bulrushrun/host.h"
+#include "bulrushrun/routing/RoutePlan.h"
+#include "bulrushrun/steering/CallFacts.h"
+
+#include <memory>
+#include <set>
+#include <string>
+
+namespace bulrushrun {
+
+/// \brief One send of a request to a target.
+struct TargetSend
+{
+  ExchangeId mExchange;
+  TargetId mTarget;
+  TimePoint mStarted;
+  /// The head came and is held until the body is whole or too long to hold.
+  std::optional<ResponseHead> mHead;
+  std::string mBody;
+  AnswerFacts mFacts;
+};
+
+/// \brief One request in progress, with all that belongs to it.
+template<class ResponderType>
+struct SteeredRequest
+{
+  SteeredRequest(RequestId aId, RepeatPolicy aPolicy)
+    : mId(aId)
+    , mMachine(aPolicy)
+  {
+  }
+
+  RequestId mId;
+  RequestMachine mMachine;
+  CallFacts mFacts;
+  HttpRequest mRequest;
+  std::shared_ptr<ResponderType> mResponder;
+  /// Keeps the route alive across changes of the configuration.
+  std::shared_ptr<const RoutePlan> mPlan;
+  const Route* mRoute = nullptr;
+  ServiceName mService;
+  TimePoint mArrived;
+  /// The earlier of the caller's deadline and the route's timeout.
+  TimePoint mLimit;
+  std::set<TargetId> mTried;
+  /// Sends that reached a target.
+  int mSends = 0;
+  /// Sends for which no connection came about.
+  int mUnreached = 0;
+  std::optional<TargetSend> mSend;
+  /// The head was passed on to the caller.
+  bool mStreaming = false;
+  /// Why the last send failed or none was made, for the log.
+  std::string mReason;
+  TimerId mLimitTimer;
+};
+
+} // namespace bulrushrun
--- /dev/null
+++ b/bulrushrun/steering/SteeringInstance.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "bulrushrun/drain.h"
+#include "bulrushrun/host.h"
+#include "bulrushrun/membership.h"
+#include "bulrushrun/steering/RequestCarrier.h"
+#include "bulrushrun/steering/SteeringSettings.h"
+#include "bulrushrun/store.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace bulrushrun {
+
+/// \brief One instance on a platform that keeps configuration and registrations in a rows store.
+///
+/// Follows the operator's table and the targets' table, carries requests straight to targets, and
+/// knows the other instances by gossip. Keeps nothing: whatever it needs after a restart, it reads
+/// from the store.
+///
+/// \tparam Adapter  translator between the platform and the product, chosen at compile time
+template<class HostType, class Adapter>
+class SteeringInstance
+{
+public:
+  using ResponderPtr = std::shared_ptr<typename HostType::ResponderType>;
+
+  /// \param aOnExit  runs when a planned stop has ended, with the number of requests it cut
+  SteeringInstance(HostType& aHost,
+                   const SteeringSettings& aSettings,
+                   std::function<void(std::size_t)> aOnExit);
+
+  /// \brief Begins to follow the store.
+  void start();
+  /// \brief Handles a caller's request.
+  void handleCaller(HttpRequest aRequest, ResponderPtr aResponder)
+  {
+    mCarrier.accept(std::move(aRequest), std::move(aResponder));
+  }
+  /// \brief Handles a caller's look-up of instances.
+  void handleLookup(const HttpRequest& aRequest, const ResponderPtr& aResponder);
+  /// \brief Handles the platform's question whether this instance is ready.
+  void handleReadiness(const HttpRequest& aRequest, const ResponderPtr& aResponder);
+  /// \brief Handles a request for the metrics.
+  void handleMetrics(const HttpRequest& aRequest, const ResponderPtr& aResponder);
+  /// \brief Handles a control message of a peer.
+  void handlePeer(const std::string& aBytes);
+  /// \brief Takes over bounds that changed.
+  void setBounds(const FleetBounds& aBounds);
+  /// \brief Begins a planned stop.
+  void stop() { mDrain.begin(); }
+
+  /// \brief \returns true when callers may use this instance.
+  bool isReady() const { return mView.mPlan != nullptr && mTargetsKnown && !mDrain.isDraining(); }
+  /// \brief Sets what runs when the limits on callers change.
+  void setOnLimits(std::function<void(const CallerLimits&)> aOnLimits)
+  {
+    mOnLimits = std::move(aOnLimits);
+  }
+
+private:
+  using Rows = typename Adapter::Rows;
+  using Follower = TableFollower<HostType, Rows>;
+  using Table = std::vector<StoreRow>;
+
+  /// Callers that left are looked for, and what has lapsed is dropped, this often.
+  static constexpr Duration kSweepPeriod = std::chrono::milliseconds(150);
+  /// Time for which a caller may keep a look-up's answer.
+  static constexpr Duration kLookupSpan = std::chrono::seconds(2);
+  /// Part of the grace that is left for the process to end.
+  static constexpr Duration kExitMargin = std::chrono::milliseconds(900);
+  static constexpr Duration kWriteLimit = std::chrono::milliseconds(1500);
+  static constexpr Duration kWritePause = std::chrono::milliseconds(400);
+  static constexpr std::size_t kMaxAnswerBytes = std::size_t{ 1024 } * 1024;
+  static constexpr std::size_t kMaxLookupAddresses = 64;
+  /// Instances named in a look-up's answer, where there are as many.
+  static constexpr std::size_t kWantedAddresses = 2;
+
+  static FollowerPace paceFor(const FleetBounds& aBounds);
+  TableListener operatorListener();
+  TableListener targetListener();
+  DrainSteps drainSteps(std::function<void(std::size_t)> aOnExit);
+  GossipListener gossipListener();
+
+  // The store's tables.
+  void onOperatorRow(const StoreRow& aRow);
+  void onOperatorTable(const Table& aRows);
+  void onPlanText(const std::string& aText);
+  void setEvacuated(std::set<ZoneName> aZones);
+  void onTargetRow(const StoreRow& aRow);
+  void onTargetTable(const Table& aRows);
+  void onAvailability(const char* aTable, bool aAvailable, const std::string& aReason);
+  void onTargetNews(const TargetId& aTarget, const AnswerFacts& aFacts);
+
+  // The other instances.
+  void registerSelf();
+  void onRegistered(RecordVersion aVersion);
+  void joinPeers();
+  void updateFleet();
+  std::vector<Endpoint> instancesFor(const LookupQuery& aQuery) const;
+
+  void sweep();
+  std::string metricsText() const;
+
+  HostType& mHost;
+  SteeringSettings mSettings;
+  SteeringView mView;
+  RequestCarrier<HostType, Adapter> mCarrier;
+  Follower mOperatorTable;
+  Follower mTargetTable;
+  DrainSequence<HostType> mDrain;
+  std::unique_ptr<Gossip<HostType>> mGossip;
+  std::set<std::string> mReportedEntries;
+  std::function<void(const CallerLimits&)> mOnLimits;
+  bool mTargetsKnown = false;
+  bool mReadyLogged = false;
+};
+
+} // namespace bulrushrun
+
+// Member functions, by duty: the store's tables.
+#include "bulrushrun/steering/InstanceTables.h"
+// The other instances, look-ups and the planned stop.
+#include "bulrushrun/steering/InstanceFleet.h"
--- /dev/null
+++ b/bulrushrun/steering/SteeringSettings.cpp
@@ -0,0 +1,117 @@
+#include "bulrushrun/steering/SteeringSettings.h"
+
+#include "bulrushrun/configuration/YamlMap.h"
+
+#include <algorithm>
+
+namespace bulrushrun {
+
+namespace {
+
+constexpr double kMaxRatio = 10;
+constexpr double kMaxCount = 1e6;
+constexpr double kMinSeconds = 0.1;
+constexpr double kMaxSeconds = 3600;
+constexpr int kMaxMegabytes = 1 << 20;
+
+FleetBounds readBounds(const YamlMap& aMap)
+{
+  aMap.allow({ "drain_ms",
+               "configuration_apply_ms",
+               "grace_s",
+               "retry_ratio",
+               "retry_window_s",
+               "retry_slack",
+               "cold_factor",
+               "cold_slack" });
+  FleetBounds bounds;
+  bounds.mDrain = aMap.millis("drain_ms", bounds.mDrain);
+  bounds.mConfigurationApply = aMap.millis("configuration_apply_ms", bounds.mConfigurationApply);
+  bounds.mGrace = aMap.millis("grace_s", bounds.mGrace);
+  bounds.mRetryRatio = aMap.number("retry_ratio", bounds.mRetryRatio, 0, kMaxRatio);
+  bounds.mRetryWindow = aMap.millis("retry_window_s", bounds.mRetryWindow);
+  bounds.mRetrySlack = aMap.number("retry_slack", bounds.mRetrySlack, 0, kMaxCount);
+  bounds.mColdFactor = aMap.number("cold_factor", bounds.mColdFactor, 0, kMaxCount);
+  bounds.mColdSlack = aMap.number("cold_slack", bounds.mColdSlack, 0, kMaxCount);
+  return bounds;
+}
+
+void readSeeds(const YamlMap& aMap, SteeringSettings& aSettings)
+{
+  for (const std::string& seed : aMap.texts("seeds")) {
+    const std::optional<Endpoint> endpoint = parseEndpoint(seed);
+    if (endpoint) {
+      aSettings.mSeeds.push_back(*endpoint);
+    } else {
+      aMap.report("seeds", "'" + seed + "' is not an address of the form a.b.c.d:port");
+    }
+  }
+}
+
+void readRegions(const YamlMap& aMap, SteeringSettings& aSettings)
+{
+  const std::optional<YamlMap> regions = aMap.map("regions");
+  if (!regions) {
+    aMap.report("regions", "the region of each zone is needed");
+    return;
+  }
+  for (const std::string& zone : regions->keys()) {
+    aSettings.mRegions[ZoneName{ zone }] = RegionName{ regions->text(zone.c_str()) };
+  }
+  if (!aSettings.mRegions.contains(aSettings.mZone)) {
+    aMap.report("zone", "the zone '" + aSettings.mZone.text() + "' has no region");
+  }
+}
+
+} // namespace
+
+std::optional<SteeringSettings> readSteeringSettings(const std::string& aText,
+                                                     const std::string& aFile,
+                                                     Findings& aFindings)
+{
+  const std::optional<YamlMap> map = parseYamlMap(aText, aFile, aFindings);
+  if (!map) {
+    return std::nullopt;
+  }
+  map->allow({ "instance",
+               "zone",
+               "regions",
+               "listen",
+               "lookup",
+               "readiness",
+               "metrics",
+               "peer",
+               "store",
+               "seeds",
+               "peer_keys",
+               "bounds",
+               "memory_mb",
+               "log_level" });
+  SteeringSettings settings;
+  settings.mInstance = InstanceId{ map->text("instance") };
+  settings.mZone = ZoneName{ map->text("zone") };
+  readRegions(*map, settings);
+  settings.mListen = map->endpoint("listen");
+  settings.mLookup = map->endpoint("lookup");
+  settings.mReadiness = map->endpoint("readiness");
+  settings.mMetrics = map->endpoint("metrics");
+  settings.mPeer = map->endpoint("peer");
+  settings.mStore = map->endpoint("store");
+  readSeeds(*map, settings);
+  settings.mPeerKeys = map->texts("peer_keys");
+  if (settings.mPeerKeys.empty()) {
+    map->report("peer_keys", "at least one peer key is needed");
+  }
+  if (const std::optional<YamlMap> bounds = map->map("bounds")) {
+    settings.mBounds = readBounds(*bounds);
+  }
+  settings.mMemoryMegabytes =
+    static_cast<std::size_t>(map->whole("memory_mb", 256, 16, kMaxMegabytes));
+  settings.mLogLevel = map->textOr("log_level", settings.mLogLevel);
+  if (!aFindings.empty()) {
+    return std::nullopt;
+  }
+  return settings;
+}
+
+} // namespace bulrushrun
--- /dev/null
+++ b/bulrushrun/steering/TargetStats.cpp
@@ -0,0 +1,59 @@
+#include "bulrushrun/steering/TargetStats.h"
+
+namespace bulrushrun {
+
+void TargetStats::onEnd(SendResult aResult, Duration aLatency, TimePoint aNow)
+{
+  mInFlight = std::max(mInFlight - 1, 0);
+  const bool answered = aResult == SendResult::Answered;
+  const bool silent = aResult == SendResult::Broken || aResult == SendResult::Unreachable;
+  mFailureShare += kFailureWeight * ((answered ? 0.0 : 1.0) - mFailureShare);
+  if (answered) {
+    const double old = static_cast<double>(mLatency.count());
+    const double now = static_cast<double>(aLatency.count());
+    const double smooth = mLatency.count() == 0 ? now : old + kLatencyWeight * (now - old);
+    mLatency = Duration{ static_cast<std::int64_t>(smooth) };
+    mConsecutive = 0;
+    mProbation = false;
+    if (mFailureShare < kMaxFailureShare / 4) {
+      mEjection = kMinEjection;
+    }
+    return;
+  }
+  mConsecutive += silent ? 1 : 0;
+  const bool outlier = mConsecutive >= kMaxConsecutive || mFailureShare > kMaxFailureShare;
+  if (!isEjected(aNow) && (outlier || (mProbation && silent))) {
+    eject(aNow);
+  }
+}
+
+void TargetStats::eject(TimePoint aNow)
+{
+  mEjectedUntil = aNow + mEjection;
+  mEjection = std::min(2 * mEjection, kMaxEjection);
+  mProbation = true;
+  mConsecutive = 0;
+  // The next results decide anew.
+  mFailureShare = kMaxFailureShare / 2;
+}
+
+void TargetStats::onReport(const LoadReport& aReport, TimePoint aNow)
+{
+  const int total = aReport.mRunning + aReport.mWaiting;
+  mForeign = std::max(0, total - mInFlight);
+  mReportedAt = aNow;
+}
+
+double TargetStats::load(TimePoint aNow) const
+{
+  const Duration age = aNow - mReportedAt;
+  double part = 0;
+  if (age <= kReportFresh) {
+    part = 1;
+  } else if (age < kReportKept) {
+    part = toSeconds(kReportKept - age) / toSeconds(kReportKept - kReportFresh);
+  }
+  return mInFlight + part * mForeign;
+}
+
+} // namespace bulrushrun
--- /dev/null
+++ b/bulrushrun/steering/TargetStats.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "bulrushrun/core.h"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace bulrushrun {
+
+/// \brief Load that a target reported with an answer.
+struct LoadReport
+{
+  int mRunning = 0;
+  int mWaiting = 0;
+  int mSlots = 0;
+};
+
+/// \brief How one send to a target ended, as evidence of its health.
+enum class SendResult
+{
+  Answered,
+  /// It declared that it did not run the request.
+  Declined,
+  /// An answer of its own that is a failure.
+  FailedAnswer,
+  /// No answer, or a broken one.
+  Broken,
+  /// No connection came about.
+  Unreachable,
+};
+
+/// \brief What this instance observed of one target: load and health. Pure.
+///
+/// Outlier ejection: consecutive failures, or a high share of failures, take the target out for a
+/// span that doubles with each time; afterwards a single request at a time proves it.
+class TargetStats
+{
+public:
+  /// \brief One more request is in progress there.
+  void onSent() { ++mInFlight; }
+  /// \brief A request ended. \param aLatency  time since it was sent
+  void onEnd(SendResult aResult, Duration aLatency, TimePoint aNow);
+  /// \brief A request was given up before it ended.
+  void onCancelled() { mInFlight = std::max(mInFlight - 1, 0); }
+  /// \brief Takes a load that the target reported.
+  void onReport(const LoadReport& aReport, TimePoint aNow);
+
+  /// \brief \returns requests of this instance in progress there.
+  int inFlight() const { return mInFlight; }
+  /// \brief \returns the estimated requests in progress there, those of other instances included.
+  double load(TimePoint aNow) const;
+  /// \brief \returns true while it must not get work.
+  bool isEjected(TimePoint aNow) const { return aNow < mEjectedUntil; }
+  /// \brief \returns true when it came back from an ejection and has not answered since.
+  bool isOnProbation() const { return mProbation; }
+  /// \brief \returns the smoothed time to an answer; zero before the first.
+  Duration latency() const { return mLatency; }
+  /// \brief \returns the smoothed share of failures.
+  double failureShare() const { return mFailureShare; }
+
+private:
+  /// Consecutive sends without any answer after which the target is taken out.
+  static constexpr int kMaxConsecutive = 2;
+  /// Share of failures that takes it out, and the weight of the newest result in that share.
+  static constexpr double kMaxFailureShare = 0.4;
+  static constexpr double kFailureWeight = 0.15;
+  static constexpr double kLatencyWeight = 0.2;
+  static constexpr Duration kMinEjection = std::chrono::milliseconds(1000);
+  static constexpr Duration kMaxEjection = std::chrono::milliseconds(8000);
+  /// A report counts fully for the first span, then less and less until the second.
+  static constexpr Duration kReportFresh = std::chrono::milliseconds(300);
+  static constexpr Duration kReportKept = std::chrono::milliseconds(1500);
+
+  void eject(TimePoint aNow);
+
+  int mInFlight = 0;
+  double mForeign = 0;
+  TimePoint mReportedAt;
+  int mConsecutive = 0;
+  double mFailureShare = 0;
+  Duration mLatency{ 0 };
+  Duration mEjection = kMinEjection;
+  TimePoint mEjectedUntil;
+  bool mProbation = false;
+};
+
+} // namespace bulrushrun
--- a/bulrushrun/platform/Base64.cpp
+++ b/bulrushrun/store/Base64.cpp
@@ -1,4 +1,4 @@
-#include "bulrushrun/platform/Base64.h"
+#include "bulrushrun/store/Base64.h"
 
 #include <openssl/evp.h>
 
--- a/bulrushrun/platform/InstanceListCodec.cpp
+++ b/bulrushrun/store/InstanceListCodec.cpp
@@ -1,4 +1,4 @@
-#include "bulrushrun/platform/InstanceListCodec.h"
+#include "bulrushrun/store/InstanceListCodec.h"
 
 #include <nlohmann/json.hpp>
 
--- a/bulrushrun/platform/InstanceListCodec.h
+++ b/bulrushrun/store/InstanceListCodec.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "bulrushrun/platform/Table.h"
+#include "bulrushrun/store/Table.h"
 
 #include <optional>
 #include <string>
--- a/bulrushrun/platform/PlatformClient.h
+++ b/bulrushrun/store/PlatformClient.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "bulrushrun/platform/InstanceListCodec.h"
-#include "bulrushrun/platform/Table.h"
-#include "bulrushrun/platform/TableCodec.h"
-#include "bulrushrun/platform/WholeExchange.h"
+#include "bulrushrun/store/InstanceListCodec.h"
+#include "bulrushrun/store/Table.h"
+#include "bulrushrun/store/TableCodec.h"
+#include "bulrushrun/store/WholeExchange.h"
 
 #include <string>
 #include <utility>
--- a/bulrushrun/platform/TableCodec.cpp
+++ b/bulrushrun/store/TableCodec.cpp
@@ -1,6 +1,6 @@
-#include "bulrushrun/platform/TableCodec.h"
+#include "bulrushrun/store/TableCodec.h"
 
-#include "bulrushrun/platform/Base64.h"
+#include "bulrushrun/store/Base64.h"
 
 #include <nlohmann/json.hpp>
 
--- a/bulrushrun/platform/TableCodec.h
+++ b/bulrushrun/store/TableCodec.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "bulrushrun/host/Http.h"
-#include "bulrushrun/platform/Table.h"
+#include "bulrushrun/store/Table.h"
 
 #include <optional>
 #include <string>
--- /dev/null
+++ b/bulrushrun/store/TableFollower.h
@@ -0,0 +1,182 @@
+#pragma once
+
+#include "bulrushrun/host/Http.h"
+#include "bulrushrun/store/Row.h"
+#include "bulrushrun/store/WholeExchange.h"
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace bulrushrun {
+
+/// \brief What a follower tells its user.
+struct TableListener
+{
+  /// The whole table, after each complete read.
+  std::function<void(const std::vector<StoreRow>&)> mOnSnapshot;
+  /// Changes in the order of their versions.
+  std::function<void(const std::vector<StoreRow>&)> mOnChanges;
+  /// The store stopped answering (false, with the reason) or answers again (true).
+  std::function<void(bool, const std::string&)> mOnAvailability;
+};
+
+/// \brief Pace of a follower.
+struct FollowerPace
+{
+  /// Longest time for which the store may hold a feed call without news.
+  Duration mWait = std::chrono::milliseconds(1000);
+  /// Time beyond the wait after which a call without an answer is given up.
+  Duration mSlack = std::chrono::milliseconds(600);
+};
+
+/// \brief Follows one table: reads it whole, then takes the feed of its changes.
+///
+/// After a failure the feed goes on from the version that was reached; only when the store no
+/// longer has that history is the table read anew. A feed call that stays silent is given up,
+/// because a connection that lost an answer never delivers another one.
+///
+/// \tparam Protocol  translator of the store's calls: readRows, followRows and parseRows
+template<class HostType, class Protocol>
+class TableFollower
+{
+public:
+  TableFollower(HostType& aHost,
+                const Endpoint& aStore,
+                std::string aTable,
+                FollowerPace aPace,
+                TableListener aListener)
+    : mHost(aHost)
+    , mStore(aStore)
+    , mTable(std::move(aTable))
+    , mPace(aPace)
+    , mListener(std::move(aListener))
+  {
+  }
+
+  /// \brief Begins to read.
+  void start() { readPage(""); }
+
+  /// \brief \returns true when the last call was answered.
+  bool isAvailable() const { return mAvailable; }
+  /// \brief \returns when the table was last known to be current.
+  TimePoint currentAt() const { return mCurrentAt; }
+  /// \brief \returns the version that was reached.
+  RecordVersion version() const { return mVersion; }
+
+private:
+  static constexpr Duration kReadLimit = std::chrono::milliseconds(1500);
+  static constexpr Duration kMinBackoff = std::chrono::milliseconds(100);
+  static constexpr Duration kMaxBackoff = std::chrono::milliseconds(800);
+  static constexpr std::size_t kMaxAnswerBytes = std::size_t{ 4 } * 1024 * 1024;
+
+  void readPage(const std::string& aFrom)
+  {
+    if (aFrom.empty()) {
+      mPending.clear();
+    }
+    call(Protocol::readRows(mTable, aFrom), kReadLimit, [this](RowReadResult aResult) {
+      onPage(std::move(aResult));
+    });
+  }
+
+  void onPage(RowReadResult aResult)
+  {
+    if (aResult.mStatus != RowReadStatus::Ok) {
+      fail(aResult.mReason, [this] { readPage(""); });
+      return;
+    }
+    if (mPending.empty()) {
+      // Changes between the pages come again with the feed.
+      mVersion = aResult.mBatch.mVersion;
+    }
+    std::vector<StoreRow>& rows = aResult.mBatch.mRows;
+    mPending.insert(mPending.end(), rows.begin(), rows.end());
+    if (aResult.mBatch.mMore && !rows.empty()) {
+      // The smallest key that sorts behind the last one.
+      readPage(rows.back().mKey + '\x01');
+      return;
+    }
+    succeed();
+    mListener.mOnSnapshot(std::exchange(mPending, {}));
+    follow();
+  }
+
+  void follow()
+  {
+    call(Protocol::followRows(mTable, mVersion, mPace.mWait),
+         mPace.mWait + mPace.mSlack,
+         [this](RowReadResult aResult) { onFeed(std::move(aResult)); });
+  }
+
+  void onFeed(RowReadResult aResult)
+  {
+    if (aResult.mStatus == RowReadStatus::HistoryGone) {
+      readPage("");
+      return;
+    }
+    if (aResult.mStatus != RowReadStatus::Ok) {
+      fail(aResult.mReason, [this] { follow(); });
+      return;
+    }
+    succeed();
+    mVersion = std::max(mVersion, aResult.mBatch.mVersion);
+    if (!aResult.mBatch.mRows.empty()) {
+      mListener.mOnChanges(aResult.mBatch.mRows);
+    }
+    follow();
+  }
+
+  void succeed()
+  {
+    mCurrentAt = mHost.now();
+    mBackoff = kMinBackoff;
+    if (!std::exchange(mAvailable, true)) {
+      mListener.mOnAvailability(true, "");
+    }
+  }
+
+  void fail(const std::string& aReason, std::function<void()> aAgain)
+  {
+    if (std::exchange(mAvailable, false)) {
+      mListener.mOnAvailability(false, aReason);
+    }
+    const std::int64_t half = mBackoff.count() / 2;
+    const Duration jitter{ static_cast<std::int64_t>(
+      mHost.random().below(static_cast<std::uint64_t>(half) + 1)) };
+    mHost.after(Duration{ half } + jitter, std::move(aAgain));
+    mBackoff = std::min(2 * mBackoff, kMaxBackoff);
+  }
+
+  void call(HttpRequest aRequest, Duration aLimit, std::function<void(RowReadResult)> aDone)
+  {
+    exchangeWhole(mHost,
+                  mStore,
+                  std::move(aRequest),
+                  aLimit,
+                  kMaxAnswerBytes,
+                  [done = std::move(aDone)](ExchangeEnd aEnd, const HttpResponse& aResponse) {
+                    RowReadResult result;
+                    if (aEnd == ExchangeEnd::Whole) {
+                      result = Protocol::parseRows(aResponse);
+                    } else {
+                      result.mReason = "no answer";
+                    }
+                    done(std::move(result));
+                  });
+  }
+
+  HostType& mHost;
+  Endpoint mStore;
+  std::string mTable;
+  FollowerPace mPace;
+  TableListener mListener;
+  std::vector<StoreRow> mPending;
+  RecordVersion mVersion;
+  TimePoint mCurrentAt;
+  Duration mBackoff = kMinBackoff;
+  bool mAvailable = true;
+};
+
+} // namespace bulrushrun
--- a/scenario/FakePlatform.h
+++ b/scenario/FakePlatform.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "bulrushrun/platform.h"
+#include "bulrushrun/store.h"
 #include "scenario/VirtualNetwork.h"
 
 #include <map>
