Bounds given in seconds are read as seconds

Cause: grace_s and retry_window_s went through the reader for milliseconds, so that a stop had 6 ms and the retry window 10 ms. Ruled out: membership (ten instances known within 0.4 s), the arithmetic of the shares.

--- a/bulrushrun/steering/SteeringSettings.cpp
+++ b/bulrushrun/steering/SteeringSettings.cpp
@@ -27,9 +27,11 @@
   FleetBounds bounds;
   bounds.mDrain = aMap.millis("drain_ms", bounds.mDrain);
   bounds.mConfigurationApply = aMap.millis("configuration_apply_ms", bounds.mConfigurationApply);
-  bounds.mGrace = aMap.millis("grace_s", bounds.mGrace);
+  bounds.mGrace =
+    fromSeconds(aMap.number("grace_s", toSeconds(bounds.mGrace), kMinSeconds, kMaxSeconds));
   bounds.mRetryRatio = aMap.number("retry_ratio", bounds.mRetryRatio, 0, kMaxRatio);
-  bounds.mRetryWindow = aMap.millis("retry_window_s", bounds.mRetryWindow);
+  bounds.mRetryWindow = fromSeconds(
+    aMap.number("retry_window_s", toSeconds(bounds.mRetryWindow), kMinSeconds, kMaxSeconds));
   bounds.mRetrySlack = aMap.number("retry_slack", bounds.mRetrySlack, 0, kMaxCount);
   bounds.mColdFactor = aMap.number("cold_factor", bounds.mColdFactor, 0, kMaxCount);
   bounds.mColdSlack = aMap.number("cold_slack", bounds.mColdSlack, 0, kMaxCount);
--- /dev/null
+++ b/bulrushrun/steering/tests/SteeringSettingsTest.cpp
@@ -0,0 +1,48 @@
+#include "bulrushrun/steering/SteeringSettings.h"
+
+#include <gtest/gtest.h>
+
+namespace bulrushrun {
+namespace {
+
+const std::string kGood = R"(
+instance: node-1
+zone: zone-a
+regions: { zone-a: region-1, zone-b: region-2 }
+listen: 10.0.0.1:8001
+lookup: 10.0.0.1:8002
+readiness: 10.0.0.1:8003
+metrics: 10.0.0.1:8004
+peer: 10.0.0.1:8005
+store: 10.0.0.9:8642
+seeds: [ "10.0.0.2:8005" ]
+peer_keys: [ "a key of some length" ]
+bounds: { grace_s: 6, retry_window_s: 10.5, retry_ratio: 0.2, drain_ms: 2500 }
+)";
+
+/// Story: settings as the platform's template renders them.
+TEST(ReadingSteeringSettings, TakesEachBoundInItsUnit)
+{
+  Findings findings;
+  const std::optional<SteeringSettings> settings = readSteeringSettings(kGood, "s.yaml", findings);
+  ASSERT_TRUE(settings) << findings.report();
+  EXPECT_EQ(settings->mBounds.mGrace, std::chrono::seconds(6));
+  EXPECT_EQ(settings->mBounds.mRetryWindow, std::chrono::milliseconds(10500));
+  EXPECT_EQ(settings->mBounds.mDrain, std::chrono::milliseconds(2500));
+  EXPECT_EQ(settings->mRegions.at(ZoneName{ "zone-b" }), RegionName{ "region-2" });
+}
+
+TEST(ReadingSteeringSettings, ReportsEverythingThatIsWrongWithItsPlace)
+{
+  Findings findings;
+  const std::string bad = "instance: node-1\nzone: zone-c\nregions: { zone-a: r }\nlisten: nowhere\n"
+                          "surprise: 1\n";
+  EXPECT_FALSE(readSteeringSettings(bad, "s.yaml", findings));
+  const std::string report = findings.report();
+  EXPECT_NE(report.find("zone-c"), std::string::npos) << report;
+  EXPECT_NE(report.find("surprise"), std::string::npos) << report;
+  EXPECT_NE(report.find("s.yaml:4"), std::string::npos) << report;
+}
+
+} // namespace
+} // namespace bulrushrun
