Spill later, refuse new work in the second half of a stop's grace

It now waits for the warm target up to 1.7 x its slots. New work is refused after half the grace, and the listening socket is closed.

--- a/bulrushrun/steering/CarrierAdmission.h
+++ b/bulrushrun/steering/CarrierAdmission.h
@@ -56,6 +56,10 @@
     refuseOutright(*aResponder, 503, "no configuration is known yet");
     return;
   }
+  if (mView.mClosed) {
+    refuseOutright(*aResponder, 503, "this instance is about to end; use another one");
+    return;
+  }
   if (exceedsLimits(aRequest, *aResponder)) {
     return;
   }
--- a/bulrushrun/steering/InstanceFleet.h
+++ b/bulrushrun/steering/InstanceFleet.h
@@ -10,18 +10,33 @@
 template<class HostType, class Adapter>
 DrainSteps SteeringInstance<HostType, Adapter>::drainSteps(std::function<void(std::size_t)> aOnExit)
 {
-  return { [this] {
-            mView.mStopping = true;
-            if (mGossip) {
-              mGossip->leave();
-            }
-          },
-           // Callers may keep a look-up's answer up to three times as long as it says.
-           [this] { return mSettings.mBounds.mGrace - kExitMargin; },
+  return { [this] { beginStop(); },
+           [this] { return takingSpan(); },
            [this] { return mCarrier.inProgress(); },
            std::move(aOnExit) };
 }
 
+template<class HostType, class Adapter>
+Duration SteeringInstance<HostType, Adapter>::takingSpan() const
+{
+  return fromSeconds(kTakingShare * toSeconds(mSettings.mBounds.mGrace));
+}
+
+template<class HostType, class Adapter>
+void SteeringInstance<HostType, Adapter>::beginStop()
+{
+  mView.mStopping = true;
+  if (mGossip) {
+    mGossip->leave();
+  }
+  mHost.after(takingSpan(), [this] {
+    mView.mClosed = true;
+    if (mOnClosed) {
+      mOnClosed();
+    }
+  });
+}
+
 template<class HostType, class Adapter>
 GossipListener SteeringInstance<HostType, Adapter>::gossipListener()
 {
--- a/bulrushrun/steering/RequestCarrier.h
+++ b/bulrushrun/steering/RequestCarrier.h
@@ -27,6 +27,8 @@
   std::size_t mInstances = 1;
   /// A planned stop is under way: callers are to leave their connections.
   bool mStopping = false;
+  /// Too little of the stop's grace is left for new requests.
+  bool mClosed = false;
 };
 
 /// \brief Counters of the carrier, for metrics.
--- a/bulrushrun/steering/SteeringInstance.h
+++ b/bulrushrun/steering/SteeringInstance.h
@@ -56,6 +56,8 @@
 
   /// \brief \returns true when callers may use this instance.
   bool isReady() const { return mView.mPlan != nullptr && mTargetsKnown && !mDrain.isDraining(); }
+  /// \brief Sets what runs when a planned stop no longer takes requests.
+  void setOnClosed(std::function<void()> aOnClosed) { mOnClosed = std::move(aOnClosed); }
   /// \brief Sets what runs when the limits on callers change.
   void setOnLimits(std::function<void(const CallerLimits&)> aOnLimits)
   {
@@ -72,7 +74,9 @@
   /// Time for which a caller may keep a look-up's answer.
   static constexpr Duration kLookupSpan = std::chrono::seconds(2);
   /// Part of the grace that is left for the process to end.
-  static constexpr Duration kExitMargin = std::chrono::milliseconds(900);
+  static constexpr Duration kExitMargin = std::chrono::milliseconds(300);
+  /// Part of the grace after which no more requests are taken: the rest is for those in progress.
+  static constexpr double kTakingShare = 0.5;
   static constexpr Duration kWriteLimit = std::chrono::milliseconds(1500);
   static constexpr Duration kWritePause = std::chrono::milliseconds(400);
   static constexpr std::size_t kMaxAnswerBytes = std::size_t{ 1024 } * 1024;
@@ -103,6 +107,8 @@
   void updateFleet();
   std::vector<Endpoint> instancesFor(const LookupQuery& aQuery) const;
 
+  Duration takingSpan() const;
+  void beginStop();
   void sweep();
   std::string metricsText() const;
 
@@ -116,6 +122,7 @@
   std::unique_ptr<Gossip<HostType>> mGossip;
   std::set<std::string> mReportedEntries;
   std::function<void(const CallerLimits&)> mOnLimits;
+  std::function<void()> mOnClosed;
   bool mTargetsKnown = false;
   bool mReadyLogged = false;
 };
--- a/bulrushrun/steering/TargetPicker.h
+++ b/bulrushrun/steering/TargetPicker.h
@@ -101,9 +101,9 @@
   };
 
   /// Requests a target may hold, in its slots, before it is taken for full.
-  static constexpr double kFullFactor = 1.0;
+  static constexpr double kFullFactor = 1.7;
   /// The same, for the last resort: targets queue a few requests themselves.
-  static constexpr double kQueueFactor = 2.0;
+  static constexpr double kQueueFactor = 3.0;
   /// Share of the targets that may be ejected at most.
   static constexpr double kMaxEjectedShare = 0.5;
 
--- a/daemon/platform_main.cpp
+++ b/daemon/platform_main.cpp
@@ -127,6 +127,7 @@
     const std::size_t body = aLimits.mBodyBytes == 0 ? bodyCap : aLimits.mBodyBytes;
     callers->setLimits(aLimits.mIdleTimeout + kIdleMargin, std::min(body, bodyCap));
   });
+  node->setOnClosed([&] { callers->close(); });
   watch = std::make_unique<SettingsWatch>(loop, host, aPath, *node);
   node->start();
   loop.run();
