Instances tell each other what the store says

Each instance now holds one question open at a peer, which answers as soon as it knows more; a copy of each table orders news by row version, whoever brings it. While a peer's news is fresh, the store may hold feed calls five seconds, which saves calls.

--- a/bulrushrun/discovery/TargetTable.cpp
+++ b/bulrushrun/discovery/TargetTable.cpp
@@ -59,19 +59,6 @@
   return true;
 }
 
-void TargetTable::retain(const std::set<TargetId>& aListed, TimePoint aNow)
-{
-  std::vector<TargetId> missing;
-  for (const auto& [id, target] : mTargets) {
-    if (!aListed.contains(id)) {
-      missing.push_back(id);
-    }
-  }
-  for (const TargetId& id : missing) {
-    remove(id, aNow);
-  }
-}
-
 void TargetTable::setReplaced(const TargetId& aId)
 {
   const auto found = mTargets.find(aId);
--- a/bulrushrun/discovery/TargetTable.h
+++ b/bulrushrun/discovery/TargetTable.h
@@ -49,8 +49,6 @@
   Change update(const TargetEntry& aEntry, TimePoint aNow);
   /// \brief The entry of a target was removed. \returns true when it was known
   bool remove(const TargetId& aId, TimePoint aNow);
-  /// \brief Removes all targets that are not listed.
-  void retain(const std::set<TargetId>& aListed, TimePoint aNow);
   /// \brief Another target answered at the address of this one.
   void setReplaced(const TargetId& aId);
   /// \brief The target said how long it stays cold.
--- a/bulrushrun/steering/InstanceFleet.h
+++ b/bulrushrun/steering/InstanceFleet.h
@@ -120,6 +120,38 @@
   }
 }
 
+/// A peer of the own zone costs no bytes between zones; when it knows nothing, any other may.
+template<class HostType, class Adapter>
+std::optional<Endpoint> SteeringInstance<HostType, Adapter>::choosePeer(bool aDisappointed)
+{
+  std::vector<Endpoint> near;
+  std::vector<Endpoint> all;
+  const std::vector<Member> members = mGossip ? mGossip->table().all() : std::vector<Member>{};
+  for (const Member& member : members) {
+    if (member.mId == mSettings.mInstance || member.mState == MemberState::Dead) {
+      continue;
+    }
+    // The internal address has the same port on every instance.
+    const Endpoint endpoint{ member.mListen.mAddress, mSettings.mMetrics.mPort };
+    all.push_back(endpoint);
+    if (member.mZone == mSettings.mZone) {
+      near.push_back(endpoint);
+    }
+  }
+  if (all.empty()) {
+    for (const Endpoint& seed : mSettings.mSeeds) {
+      if (seed.mAddress != mSettings.mPeer.mAddress) {
+        all.push_back({ seed.mAddress, mSettings.mMetrics.mPort });
+      }
+    }
+  }
+  const std::vector<Endpoint>& group = near.empty() || aDisappointed ? all : near;
+  if (group.empty()) {
+    return std::nullopt;
+  }
+  return group[mHost.random().below(group.size())];
+}
+
 template<class HostType, class Adapter>
 void SteeringInstance<HostType, Adapter>::updateFleet()
 {
@@ -204,9 +236,12 @@
 }
 
 template<class HostType, class Adapter>
-void SteeringInstance<HostType, Adapter>::handleMetrics(const HttpRequest&,
+void SteeringInstance<HostType, Adapter>::handleInternal(const HttpRequest& aRequest,
                                                         const ResponderPtr& aResponder)
 {
+  if (mNews.handle(aRequest, aResponder)) {
+    return;
+  }
   HttpResponse response;
   response.mHead.mHeaders = { { "Content-Type", "text/plain; version=0.0.4" } };
   response.mBody = metricsText();
@@ -238,6 +273,7 @@
 {
   mView.mTargets.sweep(mHost.now());
   mCarrier.sweep();
+  mNews.answerWaiting();
   mHost.after(kSweepPeriod, [this] { sweep(); });
 }
 
--- a/bulrushrun/steering/InstanceTables.h
+++ b/bulrushrun/steering/InstanceTables.h
@@ -22,16 +22,22 @@
   : mHost(aHost)
   , mSettings(aSettings)
   , mCarrier(aHost, mView)
-  , mOperatorTable(aHost,
-                   aSettings.mStore,
-                   Adapter::kOperatorTable,
-                   paceFor(aSettings.mBounds),
-                   operatorListener())
-  , mTargetTable(aHost,
-                 aSettings.mStore,
-                 Adapter::kTargetTable,
-                 paceFor(aSettings.mBounds),
-                 targetListener())
+  , mFollowers{ Follower{ aHost,
+                          aSettings.mStore,
+                          Adapter::kOperatorTable,
+                          paceFor(aSettings.mBounds),
+                          tableListener(NewsTable::Operator) },
+                Follower{ aHost,
+                          aSettings.mStore,
+                          Adapter::kTargetTable,
+                          paceFor(aSettings.mBounds),
+                          tableListener(NewsTable::Targets) } }
+  , mNews(aHost,
+          aSettings.mPeerKeys,
+          { [this] { return progress(); },
+            [this](const NewsProgress& aProgress) { return tell(aProgress); },
+            [this](const PeerNews& aNews) { hear(aNews); },
+            [this](bool aDisappointed) { return choosePeer(aDisappointed); } })
   , mDrain(aHost, aSettings.mBounds.mGrace - kExitMargin, drainSteps(std::move(aOnExit)))
 {
   mView.mContext.mZone = mSettings.mZone;
@@ -54,64 +60,118 @@
 void SteeringInstance<HostType, Adapter>::start()
 {
   mHost.log(events::kInstanceStarted, "listen=" + mSettings.mListen.text());
-  mOperatorTable.start();
-  mTargetTable.start();
+  for (Follower& follower : mFollowers) {
+    follower.start();
+  }
+  mNews.start();
   registerSelf();
   sweep();
 }
 
 template<class HostType, class Adapter>
-TableListener SteeringInstance<HostType, Adapter>::operatorListener()
+TableListener SteeringInstance<HostType, Adapter>::tableListener(NewsTable aTable)
 {
-  return { [this](const Table& aRows) { onOperatorTable(aRows); },
-           [this](const Table& aRows) {
-             for (const StoreRow& row : aRows) {
-               onOperatorRow(row);
-             }
-           },
-           [this](bool aAvailable, const std::string& aReason) {
-             onAvailability("operator", aAvailable, aReason);
-           } };
+  const std::size_t index = static_cast<std::size_t>(aTable);
+  const std::string name =
+    std::string("table=") + (aTable == NewsTable::Operator ? "operator" : "targets");
+  TableListener listener;
+  listener.mOnSnapshot = [this, aTable, index](const Table& aRows, RecordVersion aVersion) {
+    setCurrent(aTable, aVersion, mHost.now());
+    onNews(aTable, mCopies[index].applySnapshot(aRows, aVersion));
+  };
+  listener.mOnChanges = [this, aTable, index](const Table& aRows) {
+    setCurrent(aTable, mFollowers[index].version(), mHost.now());
+    onNews(aTable, mCopies[index].apply(aRows));
+  };
+  listener.mOnAvailability = [this, index, name](bool aAvailable, const std::string& aReason) {
+    mHost.log(aAvailable ? events::kFeedRegained : events::kFeedLost,
+              name + " version=" + std::to_string(mComplete[index].value()) +
+                (aAvailable ? "" : " reason=\"" + aReason + "\""));
+    adaptPace();
+  };
+  return listener;
 }
 
 template<class HostType, class Adapter>
-TableListener SteeringInstance<HostType, Adapter>::targetListener()
+void SteeringInstance<HostType, Adapter>::setCurrent(NewsTable aTable,
+                                                     RecordVersion aComplete,
+                                                     TimePoint aWhen)
 {
-  return { [this](const Table& aRows) { onTargetTable(aRows); },
-           [this](const Table& aRows) {
-             for (const StoreRow& row : aRows) {
-               onTargetRow(row);
-             }
-           },
-           [this](bool aAvailable, const std::string& aReason) {
-             onAvailability("targets", aAvailable, aReason);
-           } };
+  const std::size_t index = static_cast<std::size_t>(aTable);
+  mComplete[index] = std::max(mComplete[index], aComplete);
+  if (mCurrentAt[index] == TimePoint{} && aTable == NewsTable::Targets) {
+    mView.mContext.mStarted = mHost.now();
+  }
+  mCurrentAt[index] = std::max(mCurrentAt[index], aWhen);
 }
 
 template<class HostType, class Adapter>
-void SteeringInstance<HostType, Adapter>::onAvailability(const char* aTable,
-                                                         bool aAvailable,
-                                                         const std::string& aReason)
+void SteeringInstance<HostType, Adapter>::onNews(NewsTable aTable, const Table& aNews)
 {
-  if (aAvailable) {
-    mHost.log(events::kFeedRegained, std::string("table=") + aTable);
-  } else {
-    mHost.log(events::kFeedLost, std::string("table=") + aTable + " reason=\"" + aReason + "\"");
+  for (const StoreRow& row : aNews) {
+    if (aTable == NewsTable::Operator) {
+      onOperatorRow(row);
+    } else {
+      onTargetRow(row);
+    }
   }
+  if (!aNews.empty()) {
+    mNews.answerWaiting();
+  }
+  joinPeers();
 }
 
 template<class HostType, class Adapter>
-void SteeringInstance<HostType, Adapter>::onOperatorTable(const Table& aRows)
+NewsProgress SteeringInstance<HostType, Adapter>::progress() const
 {
-  std::set<ZoneName> evacuated;
-  for (const StoreRow& row : aRows) {
-    if (const std::optional<ZoneName> zone = Adapter::evacuatedZone(row.mKey)) {
-      evacuated.insert(*zone);
-    } else {
-      onOperatorRow(row);
+  NewsProgress known;
+  for (std::size_t i = 0; i < kNewsTables; ++i) {
+    known[i] = { mComplete[i], mCopies[i].newest() };
+  }
+  return known;
+}
+
+template<class HostType, class Adapter>
+PeerNews SteeringInstance<HostType, Adapter>::tell(const NewsProgress& aProgress) const
+{
+  PeerNews news;
+  const TimePoint now = mHost.now();
+  news.mProgress = progress();
+  for (std::size_t i = 0; i < kNewsTables; ++i) {
+    news.mAge = std::max(news.mAge, now - mCurrentAt[i]);
+    if (aProgress[i] != news.mProgress[i]) {
+      news.mRows[i] = mCopies[i].changesSince(aProgress[i].mComplete);
     }
   }
-  setEvacuated(std::move(evacuated));
+  return news;
+}
+
+template<class HostType, class Adapter>
+void SteeringInstance<HostType, Adapter>::hear(const PeerNews& aNews)
+{
+  mHeardAt = mHost.now() - aNews.mAge;
+  for (std::size_t i = 0; i < kNewsTables; ++i) {
+    const NewsTable table = static_cast<NewsTable>(i);
+    if (aNews.mProgress[i].mComplete > RecordVersion{}) {
+      setCurrent(table, aNews.mProgress[i].mComplete, mHeardAt);
+    }
+    onNews(table, mCopies[i].apply(aNews.mRows[i]));
+  }
+  adaptPace();
+}
+
+/// While a peer tells what is new, one answer that the store loses does no harm, and it may hold
+/// its calls longer.
+template<class HostType, class Adapter>
+void SteeringInstance<HostType, Adapter>::adaptPace()
+{
+  FollowerPace pace = paceFor(mSettings.mBounds);
+  if (mHost.now() - mHeardAt < kPeerFresh) {
+    pace.mWait = std::max(pace.mWait, kRelaxedWait);
+  }
+  for (Follower& follower : mFollowers) {
+    follower.setPace(pace);
+  }
 }
 
 template<class HostType, class Adapter>
@@ -173,23 +233,6 @@
   if (mOnLimits) {
     mOnLimits(mView.mPlan->mLimits);
   }
-  joinPeers();
-}
-
-template<class HostType, class Adapter>
-void SteeringInstance<HostType, Adapter>::onTargetTable(const Table& aRows)
-{
-  const TimePoint now = mHost.now();
-  std::set<TargetId> listed;
-  for (const StoreRow& row : aRows) {
-    listed.insert(TargetId{ row.mKey });
-    onTargetRow(row);
-  }
-  mView.mTargets.retain(listed, now);
-  if (!std::exchange(mTargetsKnown, true)) {
-    mView.mContext.mStarted = now;
-  }
-  joinPeers();
 }
 
 template<class HostType, class Adapter>
--- a/bulrushrun/steering/SteeringInstance.h
+++ b/bulrushrun/steering/SteeringInstance.h
@@ -7,6 +7,7 @@
 #include "bulrushrun/steering/SteeringSettings.h"
 #include "bulrushrun/store.h"
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <set>
@@ -45,8 +46,8 @@
   void handleLookup(const HttpRequest& aRequest, const ResponderPtr& aResponder);
   /// \brief Handles the platform's question whether this instance is ready.
   void handleReadiness(const HttpRequest& aRequest, const ResponderPtr& aResponder);
-  /// \brief Handles a request for the metrics.
-  void handleMetrics(const HttpRequest& aRequest, const ResponderPtr& aResponder);
+  /// \brief Handles a request for the metrics, or a peer's question for news.
+  void handleInternal(const HttpRequest& aRequest, const ResponderPtr& aResponder);
   /// \brief Handles a control message of a peer.
   void handlePeer(const std::string& aBytes);
   /// \brief Takes over bounds that changed.
@@ -55,7 +56,11 @@
   void stop() { mDrain.begin(); }
 
   /// \brief \returns true when callers may use this instance.
-  bool isReady() const { return mView.mPlan != nullptr && mTargetsKnown && !mDrain.isDraining(); }
+  bool isReady() const
+  {
+    const bool targetsKnown = mCurrentAt[static_cast<std::size_t>(NewsTable::Targets)] != TimePoint{};
+    return mView.mPlan != nullptr && targetsKnown && !mDrain.isDraining();
+  }
   /// \brief Sets what runs when a planned stop no longer takes requests.
   void setOnClosed(std::function<void()> aOnClosed) { mOnClosed = std::move(aOnClosed); }
   /// \brief Sets what runs when the limits on callers change.
@@ -84,20 +89,28 @@
   /// Instances named in a look-up's answer, where there are as many.
   static constexpr std::size_t kWantedAddresses = 2;
 
+  /// Longest wait for the store while peers tell what is new anyway.
+  static constexpr Duration kRelaxedWait = std::chrono::seconds(5);
+  /// News of peers that is older does not count.
+  static constexpr Duration kPeerFresh = std::chrono::milliseconds(2000);
+
   static FollowerPace paceFor(const FleetBounds& aBounds);
-  TableListener operatorListener();
-  TableListener targetListener();
   DrainSteps drainSteps(std::function<void(std::size_t)> aOnExit);
   GossipListener gossipListener();
 
   // The store's tables.
+  TableListener tableListener(NewsTable aTable);
+  void onNews(NewsTable aTable, const Table& aNews);
+  void setCurrent(NewsTable aTable, RecordVersion aComplete, TimePoint aWhen);
+  void adaptPace();
   void onOperatorRow(const StoreRow& aRow);
-  void onOperatorTable(const Table& aRows);
   void onPlanText(const std::string& aText);
   void setEvacuated(std::set<ZoneName> aZones);
   void onTargetRow(const StoreRow& aRow);
-  void onTargetTable(const Table& aRows);
-  void onAvailability(const char* aTable, bool aAvailable, const std::string& aReason);
+  NewsProgress progress() const;
+  PeerNews tell(const NewsProgress& aProgress) const;
+  void hear(const PeerNews& aNews);
+  std::optional<Endpoint> choosePeer(bool aDisappointed);
   void onTargetNews(const TargetId& aTarget, const AnswerFacts& aFacts);
 
   // The other instances.
@@ -116,14 +129,19 @@
   SteeringSettings mSettings;
   SteeringView mView;
   RequestCarrier<HostType, Adapter> mCarrier;
-  Follower mOperatorTable;
-  Follower mTargetTable;
+  std::array<Follower, kNewsTables> mFollowers;
+  std::array<TableCopy, kNewsTables> mCopies;
+  /// How far each table is known, and when that was current at the store.
+  std::array<RecordVersion, kNewsTables> mComplete;
+  std::array<TimePoint, kNewsTables> mCurrentAt;
+  NewsExchange<HostType> mNews;
+  /// When what a peer told last was current at the store.
+  TimePoint mHeardAt;
   DrainSequence<HostType> mDrain;
   std::unique_ptr<Gossip<HostType>> mGossip;
   std::set<std::string> mReportedEntries;
   std::function<void(const CallerLimits&)> mOnLimits;
   std::function<void()> mOnClosed;
-  bool mTargetsKnown = false;
   bool mReadyLogged = false;
 };
 
--- a/bulrushrun/store.h
+++ b/bulrushrun/store.h
@@ -13,4 +13,8 @@
 #include "bulrushrun/store/WholeExchange.h"
 // The rows store: rows, and a table that is followed.
 #include "bulrushrun/store/Row.h"
+#include "bulrushrun/store/TableCopy.h"
 #include "bulrushrun/store/TableFollower.h"
+// What instances tell each other of its tables.
+#include "bulrushrun/store/NewsExchange.h"
+#include "bulrushrun/store/PeerNews.h"
--- /dev/null
+++ b/bulrushrun/store/NewsExchange.h
@@ -0,0 +1,160 @@
+#pragma once
+
+#include "bulrushrun/host/Http.h"
+#include "bulrushrun/host/Responder.h"
+#include "bulrushrun/store/PeerNews.h"
+#include "bulrushrun/store/WholeExchange.h"
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace bulrushrun {
+
+/// \brief What the exchange needs of the instance that owns it.
+struct NewsOwner
+{
+  /// \returns how far this instance knows the tables.
+  std::function<NewsProgress()> mProgress;
+  /// \returns what this instance knows beyond a progress, and how current it is.
+  std::function<PeerNews(const NewsProgress&)> mTell;
+  /// Takes what a peer told.
+  std::function<void(const PeerNews&)> mHear;
+  /// \returns a peer to ask; the flag is true when the last one was of no use.
+  std::function<std::optional<Endpoint>(bool)> mChoosePeer;
+};
+
+/// \brief Keeps instances informed of the store's tables through each other, so that one which the
+/// store turns away learns what others learn.
+///
+/// Each instance holds one question open at one peer, which answers as soon as it knows more.
+template<class HostType>
+class NewsExchange
+{
+public:
+  using ResponderPtr = std::shared_ptr<typename HostType::ResponderType>;
+
+  NewsExchange(HostType& aHost, std::vector<std::string> aKeys, NewsOwner aOwner)
+    : mHost(aHost)
+    , mKeys(std::move(aKeys))
+    , mOwner(std::move(aOwner))
+  {
+  }
+
+  /// \brief Begins to ask peers.
+  void start() { ask(); }
+
+  /// \brief Handles a question of a peer. \returns false when the request is another one
+  bool handle(const HttpRequest& aRequest, const ResponderPtr& aResponder)
+  {
+    const std::optional<PeerNewsQuestion> question = readPeerNewsQuestion(aRequest.mPath);
+    if (!question) {
+      return false;
+    }
+    const TimePoint until = mHost.now() + std::min(question->mWait, kMaxWait);
+    mWaiting.push_back({ aResponder, question->mProgress, until });
+    answerWaiting();
+    return true;
+  }
+
+  /// \brief Answers the peers that wait for what is new; to be called after each change, and now
+  /// and then, so that questions end.
+  void answerWaiting()
+  {
+    const TimePoint now = mHost.now();
+    const NewsProgress progress = mOwner.mProgress();
+    std::erase_if(mWaiting, [&](const Waiting& aWaiting) {
+      if (!isBeyond(progress, aWaiting.mProgress) && now < aWaiting.mUntil) {
+        return aWaiting.mResponder->isGone();
+      }
+      const PeerNews news = mOwner.mTell(aWaiting.mProgress);
+      HttpResponse response;
+      response.mHead.mHeaders = { { "Content-Type", "application/octet-stream" } };
+      response.mBody = encodePeerNews(news, mKeys.front());
+      respond(*aWaiting.mResponder, response);
+      return true;
+    });
+  }
+
+private:
+  /// Longest time for which a question is held open.
+  static constexpr Duration kWait = std::chrono::milliseconds(1000);
+  static constexpr Duration kMaxWait = std::chrono::seconds(10);
+  static constexpr Duration kSlack = std::chrono::milliseconds(400);
+  static constexpr Duration kPause = std::chrono::milliseconds(250);
+  /// Knowledge older than this is no news; another peer is asked.
+  static constexpr Duration kStale = std::chrono::milliseconds(2500);
+  static constexpr std::size_t kMaxAnswerBytes = std::size_t{ 8 } * 1024 * 1024;
+
+  struct Waiting
+  {
+    ResponderPtr mResponder;
+    NewsProgress mProgress;
+    TimePoint mUntil;
+  };
+
+  static bool isBeyond(const NewsProgress& aTheirs, const NewsProgress& aOurs)
+  {
+    for (std::size_t i = 0; i < kNewsTables; ++i) {
+      if (aTheirs[i].mComplete > aOurs[i].mComplete || aTheirs[i].mNewest > aOurs[i].mNewest) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  void askLater()
+  {
+    mPeer.reset();
+    mHost.after(kPause, [this] { ask(); });
+  }
+
+  void ask()
+  {
+    if (!mPeer) {
+      mPeer = mOwner.mChoosePeer(mDisappointed);
+    }
+    if (!mPeer) {
+      askLater();
+      return;
+    }
+    HttpRequest question;
+    question.mMethod = "GET";
+    question.mPath = peerNewsQuestion(mOwner.mProgress(), kWait);
+    exchangeWhole(mHost,
+                  *mPeer,
+                  std::move(question),
+                  kWait + kSlack,
+                  kMaxAnswerBytes,
+                  [this](ExchangeEnd aEnd, const HttpResponse& aResponse) {
+                    onAnswer(aEnd, aResponse);
+                  });
+  }
+
+  void onAnswer(ExchangeEnd aEnd, const HttpResponse& aResponse)
+  {
+    const std::optional<PeerNews> news =
+      aEnd == ExchangeEnd::Whole ? decodePeerNews(aResponse.mBody, mKeys) : std::nullopt;
+    mDisappointed = !news || news->mAge > kStale;
+    if (news) {
+      mOwner.mHear(*news);
+    }
+    if (mDisappointed) {
+      askLater();
+    } else {
+      ask();
+    }
+  }
+
+  HostType& mHost;
+  std::vector<std::string> mKeys;
+  NewsOwner mOwner;
+  std::list<Waiting> mWaiting;
+  std::optional<Endpoint> mPeer;
+  bool mDisappointed = false;
+};
+
+} // namespace bulrushrun
--- /dev/null
+++ b/bulrushrun/store/TableCopy.cpp
@@ -0,0 +1,63 @@
+#include "bulrushrun/store/TableCopy.h"
+
+#include <algorithm>
+#include <set>
+
+namespace bulrushrun {
+
+bool TableCopy::take(const StoreRow& aRow)
+{
+  const auto [row, added] = mRows.try_emplace(aRow.mKey, aRow);
+  if (!added && aRow.mVersion <= row->second.mVersion) {
+    return false;
+  }
+  row->second = aRow;
+  mNewest = std::max(mNewest, aRow.mVersion);
+  return true;
+}
+
+std::vector<StoreRow> TableCopy::apply(const std::vector<StoreRow>& aRows)
+{
+  std::vector<StoreRow> news;
+  for (const StoreRow& row : aRows) {
+    if (take(row)) {
+      news.push_back(row);
+    }
+  }
+  return news;
+}
+
+std::vector<StoreRow> TableCopy::applySnapshot(const std::vector<StoreRow>& aRows,
+                                               RecordVersion aVersion)
+{
+  std::vector<StoreRow> news = apply(aRows);
+  std::set<std::string> listed;
+  for (const StoreRow& row : aRows) {
+    listed.insert(row.mKey);
+  }
+  for (auto row = mRows.begin(); row != mRows.end(); ++row) {
+    StoreRow& known = row->second;
+    if (!known.mRemoved && !listed.contains(known.mKey) && known.mVersion <= aVersion) {
+      known = { known.mKey, "", aVersion, true };
+      mNewest = std::max(mNewest, aVersion);
+      news.push_back(known);
+    }
+  }
+  return news;
+}
+
+std::vector<StoreRow> TableCopy::changesSince(RecordVersion aVersion) const
+{
+  std::vector<StoreRow> changes;
+  for (const auto& [key, row] : mRows) {
+    if (row.mVersion > aVersion) {
+      changes.push_back(row);
+    }
+  }
+  std::sort(changes.begin(), changes.end(), [](const StoreRow& aLeft, const StoreRow& aRight) {
+    return aLeft.mVersion < aRight.mVersion;
+  });
+  return changes;
+}
+
+} // namespace bulrushrun
--- /dev/null
+++ b/bulrushrun/store/TableCopy.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "bulrushrun/store/Row.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace bulrushrun {
+
+/// \brief This instance's copy of one table, fed by the store and by peers. Pure.
+///
+/// The version of a row decides which of two reports is newer, so that news may come twice, late,
+/// or from several sides. Removed rows are kept as such, so that an older report does not bring
+/// them back.
+class TableCopy
+{
+public:
+  /// \brief Takes single changes. \returns those that are news, in the order given
+  std::vector<StoreRow> apply(const std::vector<StoreRow>& aRows);
+  /// \brief Takes the whole table as of a version: what is missing there was removed.
+  /// \returns what is news
+  std::vector<StoreRow> applySnapshot(const std::vector<StoreRow>& aRows, RecordVersion aVersion);
+
+  /// \brief \returns the rows that changed behind a version, in order of their versions.
+  std::vector<StoreRow> changesSince(RecordVersion aVersion) const;
+  /// \brief \returns the newest version of any row.
+  RecordVersion newest() const { return mNewest; }
+
+private:
+  bool take(const StoreRow& aRow);
+
+  std::map<std::string, StoreRow> mRows;
+  RecordVersion mNewest;
+};
+
+} // namespace bulrushrun
--- a/bulrushrun/store/TableFollower.h
+++ b/bulrushrun/store/TableFollower.h
@@ -14,9 +14,9 @@
 /// \brief What a follower tells its user.
 struct TableListener
 {
-  /// The whole table, after each complete read.
-  std::function<void(const std::vector<StoreRow>&)> mOnSnapshot;
-  /// Changes in the order of their versions.
+  /// The whole table as of a version, after each complete read.
+  std::function<void(const std::vector<StoreRow>&, RecordVersion)> mOnSnapshot;
+  /// Changes in the order of their versions; none when the store said that there are none.
   std::function<void(const std::vector<StoreRow>&)> mOnChanges;
   /// The store stopped answering (false, with the reason) or answers again (true).
   std::function<void(bool, const std::string&)> mOnAvailability;
@@ -55,6 +55,9 @@
   {
   }
 
+  /// \brief Sets how long the store may hold a feed call, from the next call on.
+  void setPace(FollowerPace aPace) { mPace = aPace; }
+
   /// \brief Begins to read.
   void start() { readPage(""); }
 
@@ -99,7 +102,7 @@
       return;
     }
     succeed();
-    mListener.mOnSnapshot(std::exchange(mPending, {}));
+    mListener.mOnSnapshot(std::exchange(mPending, {}), mVersion);
     follow();
   }
 
@@ -122,9 +125,7 @@
     }
     succeed();
     mVersion = std::max(mVersion, aResult.mBatch.mVersion);
-    if (!aResult.mBatch.mRows.empty()) {
-      mListener.mOnChanges(aResult.mBatch.mRows);
-    }
+    mListener.mOnChanges(aResult.mBatch.mRows);
     follow();
   }
 
--- a/daemon/platform_main.cpp
+++ b/daemon/platform_main.cpp
@@ -120,7 +120,7 @@
     });
   const std::unique_ptr<HttpServer> metrics =
     serve(aSettings.mMetrics, [&](const HttpRequest& aRequest, const auto& aResponder) {
-      node->handleMetrics(aRequest, aResponder);
+      node->handleInternal(aRequest, aResponder);
     });
   const std::size_t bodyCap = aSettings.mMemoryMegabytes * 1024 * 1024 / kBodyMemoryShare;
   node->setOnLimits([&](const CallerLimits& aLimits) {
