--- a/bulrushrun/steering/TargetPicker.cpp
+++ b/bulrushrun/steering/TargetPicker.cpp
@@ -3,6 +3,7 @@
 #include "bulrushrun/routing/Rendezvous.h"
 
 #include <algorithm>
+#include <array>
 
 namespace bulrushrun {
 
@@ -105,13 +106,18 @@
     }
     return aLeft.mRank > aRight.mRank;
   });
-  for (const double factor : { kFullFactor, kQueueFactor }) {
-    for (const Candidate& candidate : open) {
-      const KnownTarget& target = *candidate.mTarget;
-      if (candidate.mLoad + 1 <= factor * target.mEntry.mSlots &&
+  const std::size_t spread =
+    aQuery.mAffinity == Affinity::Object ? std::min(kSpread, open.size()) : open.size();
+  const std::array<Round, 3> rounds{ { { spread, kFullFactor },
+                                       { open.size(), kIdleFactor },
+                                       { spread, kQueueFactor } } };
+  for (const Round& round : rounds) {
+    for (std::size_t i = 0; i < round.mCandidates; ++i) {
+      const KnownTarget& target = *open[i].mTarget;
+      if (open[i].mLoad + 1 <= round.mFactor * target.mEntry.mSlots &&
           admitsCold(target, aContext, aNow)) {
         result.mTarget = &target;
-        result.mLoad = candidate.mLoad;
+        result.mLoad = open[i].mLoad;
         return result;
       }
     }
--- a/bulrushrun/steering/TargetPicker.h
+++ b/bulrushrun/steering/TargetPicker.h
@@ -100,10 +100,21 @@
     int mDistance = 0;
   };
 
+  /// One pass over the first candidates: those that hold less than a factor of their slots.
+  struct Round
+  {
+    std::size_t mCandidates;
+    double mFactor;
+  };
+
+  /// Requests a target may hold, in its slots, to take objects that are not its own.
+  static constexpr double kIdleFactor = 0.6;
   /// Requests a target may hold, in its slots, before it is taken for full.
   static constexpr double kFullFactor = 1.7;
   /// The same, for the last resort: targets queue a few requests themselves.
   static constexpr double kQueueFactor = 3.0;
+  /// Targets over which one object may be spread: more of them would each have to warm up.
+  static constexpr std::size_t kSpread = 2;
   /// Share of the targets that may be ejected at most.
   static constexpr double kMaxEjectedShare = 0.5;
 
