Three instances read the store for all; a stop waits until answers have gone out

Roles are computed from the membership: three readers in different regions, one relay a zone; an instance whose news grows older than 1.5 x the tightest bound reads the store itself.

--- a/bulrushrun/membership.h
+++ b/bulrushrun/membership.h
@@ -6,6 +6,7 @@
 #include "bulrushrun/membership/Member.h"
 // The table, pure.
 #include "bulrushrun/membership/MemberTable.h"
+#include "bulrushrun/membership/NewsRoles.h"
 #include "bulrushrun/membership/UpdateQueue.h"
 #include "bulrushrun/membership/ZoneRelays.h"
 // Messages.
--- /dev/null
+++ b/bulrushrun/membership/NewsRoles.cpp
@@ -0,0 +1,50 @@
+#include "bulrushrun/membership/NewsRoles.h"
+
+#include <algorithm>
+#include <set>
+
+namespace bulrushrun {
+
+bool NewsRoles::isReader(const InstanceId& aInstance) const
+{
+  return std::any_of(mReaders.begin(), mReaders.end(), [&](const Member& aMember) {
+    return aMember.mId == aInstance;
+  });
+}
+
+NewsRoles assignNewsRoles(const std::vector<Member>& aMembers,
+                          const std::map<ZoneName, RegionName>& aRegions,
+                          const ZoneName& aOwnZone)
+{
+  std::vector<Member> live;
+  std::copy_if(
+    aMembers.begin(), aMembers.end(), std::back_inserter(live), [](const Member& aMember) {
+      return aMember.mState == MemberState::Alive || aMember.mState == MemberState::Suspect;
+    });
+  // By hash, so that the roles are spread over the fleet and change little when it changes.
+  std::sort(live.begin(), live.end(), [](const Member& aLeft, const Member& aRight) {
+    const std::uint64_t left = hashText(aLeft.mId.text());
+    const std::uint64_t right = hashText(aRight.mId.text());
+    return left != right ? left < right : aLeft.mId < aRight.mId;
+  });
+  NewsRoles roles;
+  std::set<RegionName> covered;
+  std::vector<Member> rest;
+  for (const Member& member : live) {
+    const auto region = aRegions.find(member.mZone);
+    const RegionName name = region == aRegions.end() ? RegionName{} : region->second;
+    const bool wanted = roles.mReaders.size() < kNewsReaders && covered.insert(name).second;
+    (wanted ? roles.mReaders : rest).push_back(member);
+    if (!roles.mRelay && member.mZone == aOwnZone) {
+      roles.mRelay = member;
+    }
+  }
+  for (const Member& member : rest) {
+    if (roles.mReaders.size() < kNewsReaders) {
+      roles.mReaders.push_back(member);
+    }
+  }
+  return roles;
+}
+
+} // namespace bulrushrun
--- /dev/null
+++ b/bulrushrun/membership/tests/NewsRolesTest.cpp
@@ -0,0 +1,74 @@
+#include "bulrushrun/membership/NewsRoles.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace bulrushrun {
+namespace {
+
+/// Story: a fleet of three regions with two zones each decides who reads the store.
+class TheFleet : public ::testing::Test
+{
+protected:
+  TheFleet()
+  {
+    for (int zone = 0; zone < 6; ++zone) {
+      const ZoneName name{ "z" + std::to_string(zone) };
+      mRegions[name] = RegionName{ "r" + std::to_string(zone / 2) };
+      for (int i = 0; i < 4; ++i) {
+        Member member;
+        member.mId = InstanceId{ name.text() + "-" + std::to_string(i) };
+        member.mZone = name;
+        mMembers.push_back(member);
+      }
+    }
+  }
+
+  NewsRoles roles() const { return assignNewsRoles(mMembers, mRegions, ZoneName{ "z0" }); }
+
+  std::map<ZoneName, RegionName> mRegions;
+  std::vector<Member> mMembers;
+};
+
+TEST_F(TheFleet, HasOneReaderInEachRegion)
+{
+  std::set<RegionName> regions;
+  for (const Member& reader : roles().mReaders) {
+    regions.insert(mRegions.at(reader.mZone));
+  }
+  EXPECT_EQ(regions.size(), kNewsReaders);
+}
+
+TEST_F(TheFleet, ReplacesOnlyTheReaderThatDied)
+{
+  const NewsRoles before = roles();
+  for (Member& member : mMembers) {
+    if (member.mId == before.mReaders[1].mId) {
+      member.mState = MemberState::Dead;
+    }
+  }
+  const NewsRoles after = roles();
+  EXPECT_FALSE(after.isReader(before.mReaders[1].mId));
+  EXPECT_TRUE(after.isReader(before.mReaders[0].mId));
+  EXPECT_TRUE(after.isReader(before.mReaders[2].mId));
+}
+
+TEST_F(TheFleet, RelaysWithinAZoneThroughALiveMemberOfIt)
+{
+  const std::optional<Member> relay = roles().mRelay;
+  ASSERT_TRUE(relay);
+  EXPECT_EQ(relay->mZone, ZoneName{ "z0" });
+}
+
+TEST_F(TheFleet, FillsUpWithReadersOfOneRegionWhenThereIsNoOther)
+{
+  std::erase_if(mMembers, [&](const Member& aMember) {
+    return mRegions.at(aMember.mZone) != RegionName{ "r1" };
+  });
+  EXPECT_EQ(roles().mReaders.size(), kNewsReaders);
+  EXPECT_FALSE(roles().mRelay);
+}
+
+} // namespace
+} // namespace bulrushrun
--- a/bulrushrun/net/HttpResponder.cpp
+++ b/bulrushrun/net/HttpResponder.cpp
@@ -37,8 +37,12 @@
 void HttpResponder::onDispose(void* aSlot)
 {
   Slot* slot = static_cast<Slot*>(aSlot);
-  (*slot)->leave();
+  const Slot responder = *slot;
   slot->~Slot();
+  responder->leave();
+  if (responder->mOnDisposed) {
+    responder->mOnDisposed();
+  }
 }
 
 void HttpResponder::leave()
--- a/bulrushrun/net/HttpResponder.h
+++ b/bulrushrun/net/HttpResponder.h
@@ -42,6 +42,8 @@
   std::function<void()> mOnWritable;
   /// \brief Runs once when the caller leaves before the answer ended.
   std::function<void()> mOnGone;
+  /// \brief Runs once when the request is over, its answer gone out or given up.
+  std::function<void()> mOnDisposed;
 
 private:
   /// h2o's generator, with the way back to the channel.
--- a/bulrushrun/net/HttpServer.cpp
+++ b/bulrushrun/net/HttpServer.cpp
@@ -138,6 +138,8 @@
     return 0;
   }
   std::shared_ptr<HttpResponder> responder = HttpResponder::create(aRequest);
+  ++mInProgress;
+  responder->mOnDisposed = [this] { --mInProgress; };
   std::optional<RequestFault> fault = checkHead(*aRequest);
   if (fault) {
     aRequest->http1_is_persistent = 0;
--- a/bulrushrun/net/HttpServer.h
+++ b/bulrushrun/net/HttpServer.h
@@ -40,6 +40,9 @@
   /// \brief Sets how long a connection may stay idle, and how long a body may be, in bytes.
   void setLimits(Duration aIdle, std::size_t aBodyBytes);
 
+  /// \brief \returns the requests whose answers have not gone out whole.
+  std::size_t inProgress() const { return mInProgress; }
+
   /// \brief Closes the listening socket and lets connections end after their current request.
   void close();
 
@@ -62,6 +65,7 @@
   h2o_context_t mContext{};
   h2o_accept_ctx_t mAcceptContext{};
   h2o_socket_t* mListener = nullptr;
+  std::size_t mInProgress = 0;
 };
 
 } // namespace bulrushrun
--- a/bulrushrun/steering/InstanceFleet.h
+++ b/bulrushrun/steering/InstanceFleet.h
@@ -12,7 +12,10 @@
 {
   return { [this] { beginStop(); },
            [this] { return takingSpan(); },
-           [this] { return mCarrier.inProgress(); },
+           [this] {
+             const std::size_t open = mOpenAnswers ? mOpenAnswers() : 0;
+             return std::max(mCarrier.inProgress(), open);
+           },
            std::move(aOnExit) };
 }
 
@@ -120,36 +123,43 @@
   }
 }
 
-/// A peer of the own zone costs no bytes between zones; when it knows nothing, any other may.
+/// One instance of each zone asks a reader, the others ask it, so that few bytes cross zones. When
+/// that one is of no use, any other may be.
 template<class HostType, class Adapter>
 std::optional<Endpoint> SteeringInstance<HostType, Adapter>::choosePeer(bool aDisappointed)
 {
-  std::vector<Endpoint> near;
-  std::vector<Endpoint> all;
+  // The internal address has the same port on every instance.
+  const auto endpointOf = [this](std::uint32_t aAddress) {
+    return Endpoint{ aAddress, mSettings.mMetrics.mPort };
+  };
+  const InstanceId& self = mSettings.mInstance;
+  const bool asksRelay =
+    !aDisappointed && mRoles.mRelay && mRoles.mRelay->mId != self && !mRoles.isReader(self);
+  if (asksRelay) {
+    return endpointOf(mRoles.mRelay->mListen.mAddress);
+  }
+  std::vector<Endpoint> others;
+  for (const Member& reader : mRoles.mReaders) {
+    if (reader.mId != self) {
+      others.push_back(endpointOf(reader.mListen.mAddress));
+    }
+  }
   const std::vector<Member> members = mGossip ? mGossip->table().all() : std::vector<Member>{};
   for (const Member& member : members) {
-    if (member.mId == mSettings.mInstance || member.mState == MemberState::Dead) {
-      continue;
-    }
-    // The internal address has the same port on every instance.
-    const Endpoint endpoint{ member.mListen.mAddress, mSettings.mMetrics.mPort };
-    all.push_back(endpoint);
-    if (member.mZone == mSettings.mZone) {
-      near.push_back(endpoint);
+    if ((aDisappointed || others.empty()) && member.mId != self &&
+        member.mState != MemberState::Dead) {
+      others.push_back(endpointOf(member.mListen.mAddress));
     }
   }
-  if (all.empty()) {
-    for (const Endpoint& seed : mSettings.mSeeds) {
-      if (seed.mAddress != mSettings.mPeer.mAddress) {
-        all.push_back({ seed.mAddress, mSettings.mMetrics.mPort });
-      }
+  for (const Endpoint& seed : mSettings.mSeeds) {
+    if (members.size() <= 1 && seed.mAddress != mSettings.mPeer.mAddress) {
+      others.push_back(endpointOf(seed.mAddress));
     }
   }
-  const std::vector<Endpoint>& group = near.empty() || aDisappointed ? all : near;
-  if (group.empty()) {
+  if (others.empty()) {
     return std::nullopt;
   }
-  return group[mHost.random().below(group.size())];
+  return others[mHost.random().below(others.size())];
 }
 
 template<class HostType, class Adapter>
@@ -163,6 +173,7 @@
   // Members that are taken for dead may only be cut off, and still send.
   mView.mInstances = std::max<std::size_t>(members.size(), 1);
   mView.mContext.mZoneInstances = std::max<std::size_t>(inZone, 1);
+  mRoles = assignNewsRoles(members, mSettings.mRegions, mSettings.mZone);
 }
 
 template<class HostType, class Adapter>
@@ -237,7 +248,7 @@
 
 template<class HostType, class Adapter>
 void SteeringInstance<HostType, Adapter>::handleInternal(const HttpRequest& aRequest,
-                                                        const ResponderPtr& aResponder)
+                                                         const ResponderPtr& aResponder)
 {
   if (mNews.handle(aRequest, aResponder)) {
     return;
@@ -274,6 +285,7 @@
   mView.mTargets.sweep(mHost.now());
   mCarrier.sweep();
   mNews.answerWaiting();
+  chooseSource();
   mHost.after(kSweepPeriod, [this] { sweep(); });
 }
 
--- a/bulrushrun/steering/InstanceTables.h
+++ b/bulrushrun/steering/InstanceTables.h
@@ -12,7 +12,7 @@
 FollowerPace SteeringInstance<HostType, Adapter>::paceFor(const FleetBounds& aBounds)
 {
   const Duration tightest = std::min(aBounds.mDrain, aBounds.mConfigurationApply);
-  return { tightest / 2, tightest / 4 };
+  return { 2 * tightest / 5, tightest / 5 };
 }
 
 template<class HostType, class Adapter>
@@ -87,7 +87,6 @@
     mHost.log(aAvailable ? events::kFeedRegained : events::kFeedLost,
               name + " version=" + std::to_string(mComplete[index].value()) +
                 (aAvailable ? "" : " reason=\"" + aReason + "\""));
-    adaptPace();
   };
   return listener;
 }
@@ -155,22 +154,21 @@
     if (aNews.mProgress[i].mComplete > RecordVersion{}) {
       setCurrent(table, aNews.mProgress[i].mComplete, mHeardAt);
     }
+    mFollowers[i].skipTo(aNews.mProgress[i].mComplete);
     onNews(table, mCopies[i].apply(aNews.mRows[i]));
   }
-  adaptPace();
 }
 
-/// While a peer tells what is new, one answer that the store loses does no harm, and it may hold
-/// its calls longer.
+/// Few instances read the store for all; one whose news grows old reads for itself.
 template<class HostType, class Adapter>
-void SteeringInstance<HostType, Adapter>::adaptPace()
+void SteeringInstance<HostType, Adapter>::chooseSource()
 {
-  FollowerPace pace = paceFor(mSettings.mBounds);
-  if (mHost.now() - mHeardAt < kPeerFresh) {
-    pace.mWait = std::max(pace.mWait, kRelaxedWait);
-  }
+  const Duration stale =
+    3 * std::min(mSettings.mBounds.mDrain, mSettings.mBounds.mConfigurationApply) / 2;
+  const bool reader =
+    !mGossip || mRoles.isReader(mSettings.mInstance) || mHost.now() - mHeardAt > stale;
   for (Follower& follower : mFollowers) {
-    follower.setPace(pace);
+    follower.setActive(reader);
   }
 }
 
--- a/bulrushrun/steering/SteeringInstance.h
+++ b/bulrushrun/steering/SteeringInstance.h
@@ -58,11 +58,14 @@
   /// \brief \returns true when callers may use this instance.
   bool isReady() const
   {
-    const bool targetsKnown = mCurrentAt[static_cast<std::size_t>(NewsTable::Targets)] != TimePoint{};
+    const bool targetsKnown =
+      mCurrentAt[static_cast<std::size_t>(NewsTable::Targets)] != TimePoint{};
     return mView.mPlan != nullptr && targetsKnown && !mDrain.isDraining();
   }
   /// \brief Sets what runs when a planned stop no longer takes requests.
   void setOnClosed(std::function<void()> aOnClosed) { mOnClosed = std::move(aOnClosed); }
+  /// \brief Sets what counts the answers that have not gone out whole.
+  void setOpenAnswers(std::function<std::size_t()> aCount) { mOpenAnswers = std::move(aCount); }
   /// \brief Sets what runs when the limits on callers change.
   void setOnLimits(std::function<void(const CallerLimits&)> aOnLimits)
   {
@@ -89,11 +92,6 @@
   /// Instances named in a look-up's answer, where there are as many.
   static constexpr std::size_t kWantedAddresses = 2;
 
-  /// Longest wait for the store while peers tell what is new anyway.
-  static constexpr Duration kRelaxedWait = std::chrono::seconds(5);
-  /// News of peers that is older does not count.
-  static constexpr Duration kPeerFresh = std::chrono::milliseconds(2000);
-
   static FollowerPace paceFor(const FleetBounds& aBounds);
   DrainSteps drainSteps(std::function<void(std::size_t)> aOnExit);
   GossipListener gossipListener();
@@ -102,7 +100,7 @@
   TableListener tableListener(NewsTable aTable);
   void onNews(NewsTable aTable, const Table& aNews);
   void setCurrent(NewsTable aTable, RecordVersion aComplete, TimePoint aWhen);
-  void adaptPace();
+  void chooseSource();
   void onOperatorRow(const StoreRow& aRow);
   void onPlanText(const std::string& aText);
   void setEvacuated(std::set<ZoneName> aZones);
@@ -139,9 +137,11 @@
   TimePoint mHeardAt;
   DrainSequence<HostType> mDrain;
   std::unique_ptr<Gossip<HostType>> mGossip;
+  NewsRoles mRoles;
   std::set<std::string> mReportedEntries;
   std::function<void(const CallerLimits&)> mOnLimits;
   std::function<void()> mOnClosed;
+  std::function<std::size_t()> mOpenAnswers;
   bool mReadyLogged = false;
 };
 
--- a/bulrushrun/store/NewsExchange.h
+++ b/bulrushrun/store/NewsExchange.h
@@ -85,8 +85,10 @@
   static constexpr Duration kMaxWait = std::chrono::seconds(10);
   static constexpr Duration kSlack = std::chrono::milliseconds(400);
   static constexpr Duration kPause = std::chrono::milliseconds(250);
+  /// Roles change with the membership, so the choice is made anew after this span.
+  static constexpr Duration kPeerSpan = std::chrono::seconds(8);
   /// Knowledge older than this is no news; another peer is asked.
-  static constexpr Duration kStale = std::chrono::milliseconds(2500);
+  static constexpr Duration kStale = std::chrono::milliseconds(3000);
   static constexpr std::size_t kMaxAnswerBytes = std::size_t{ 8 } * 1024 * 1024;
 
   struct Waiting
@@ -114,8 +116,9 @@
 
   void ask()
   {
-    if (!mPeer) {
+    if (!mPeer || mHost.now() - mChosenAt > kPeerSpan) {
       mPeer = mOwner.mChoosePeer(mDisappointed);
+      mChosenAt = mHost.now();
     }
     if (!mPeer) {
       askLater();
@@ -124,14 +127,13 @@
     HttpRequest question;
     question.mMethod = "GET";
     question.mPath = peerNewsQuestion(mOwner.mProgress(), kWait);
-    exchangeWhole(mHost,
-                  *mPeer,
-                  std::move(question),
-                  kWait + kSlack,
-                  kMaxAnswerBytes,
-                  [this](ExchangeEnd aEnd, const HttpResponse& aResponse) {
-                    onAnswer(aEnd, aResponse);
-                  });
+    exchangeWhole(
+      mHost,
+      *mPeer,
+      std::move(question),
+      kWait + kSlack,
+      kMaxAnswerBytes,
+      [this](ExchangeEnd aEnd, const HttpResponse& aResponse) { onAnswer(aEnd, aResponse); });
   }
 
   void onAnswer(ExchangeEnd aEnd, const HttpResponse& aResponse)
@@ -154,6 +156,7 @@
   NewsOwner mOwner;
   std::list<Waiting> mWaiting;
   std::optional<Endpoint> mPeer;
+  TimePoint mChosenAt;
   bool mDisappointed = false;
 };
 
--- a/bulrushrun/store/TableFollower.h
+++ b/bulrushrun/store/TableFollower.h
@@ -58,6 +58,18 @@
   /// \brief Sets how long the store may hold a feed call, from the next call on.
   void setPace(FollowerPace aPace) { mPace = aPace; }
 
+  /// \brief Lets the feed rest, or goes on with it from the version that was reached.
+  void setActive(bool aActive)
+  {
+    mActive = aActive;
+    if (mActive && std::exchange(mResting, false)) {
+      follow();
+    }
+  }
+
+  /// \brief Others told everything up to a version; the feed goes on behind it.
+  void skipTo(RecordVersion aVersion) { mVersion = std::max(mVersion, aVersion); }
+
   /// \brief Begins to read.
   void start() { readPage(""); }
 
@@ -70,6 +82,8 @@
 
 private:
   static constexpr Duration kReadLimit = std::chrono::milliseconds(1500);
+  /// Changes come in bursts; those of this span are read by one call.
+  static constexpr Duration kGatherSpan = std::chrono::milliseconds(80);
   static constexpr Duration kMinBackoff = std::chrono::milliseconds(100);
   static constexpr Duration kMaxBackoff = std::chrono::milliseconds(800);
   static constexpr std::size_t kMaxAnswerBytes = std::size_t{ 4 } * 1024 * 1024;
@@ -108,6 +122,10 @@
 
   void follow()
   {
+    if (!mActive) {
+      mResting = true;
+      return;
+    }
     call(Protocol::followRows(mTable, mVersion, mPace.mWait),
          mPace.mWait + mPace.mSlack,
          [this](RowReadResult aResult) { onFeed(std::move(aResult)); });
@@ -126,7 +144,11 @@
     succeed();
     mVersion = std::max(mVersion, aResult.mBatch.mVersion);
     mListener.mOnChanges(aResult.mBatch.mRows);
-    follow();
+    if (aResult.mBatch.mRows.empty()) {
+      follow();
+    } else {
+      mHost.after(kGatherSpan, [this] { follow(); });
+    }
   }
 
   void succeed()
@@ -178,6 +200,8 @@
   TimePoint mCurrentAt;
   Duration mBackoff = kMinBackoff;
   bool mAvailable = true;
+  bool mActive = true;
+  bool mResting = false;
 };
 
 } // namespace bulrushrun
--- a/daemon/platform_main.cpp
+++ b/daemon/platform_main.cpp
@@ -1,4 +1,5 @@
 #include "bulrushrun/net.h"
+#include "bulrushrun/net/CrashReport.h"
 #include "bulrushrun/net/SignalWatch.h"
 #include "bulrushrun/steering.h"
 #include "platform/Adapter.h"
@@ -128,6 +129,7 @@
     callers->setLimits(aLimits.mIdleTimeout + kIdleMargin, std::min(body, bodyCap));
   });
   node->setOnClosed([&] { callers->close(); });
+  node->setOpenAnswers([&] { return callers->inProgress(); });
   watch = std::make_unique<SettingsWatch>(loop, host, aPath, *node);
   node->start();
   loop.run();
@@ -147,6 +149,7 @@
     std::cout << path << ": no findings\n";
     return 0;
   }
+  reportCrashes();
   startLogging(settings->mInstance.text(), settings->mLogLevel);
   return runDaemon(*settings, path);
 }
