Peers tell each other how current they are

Change: a reader's answer without news travels on at once, so that in quiet times every instance knows that it is current; one whose knowledge is older than 0.56 of the tightest bound asks the store itself, at first without waiting.

--- a/bulrushrun/steering/InstanceTables.h
+++ b/bulrushrun/steering/InstanceTables.h
@@ -7,12 +7,17 @@
 
 namespace bulrushrun {
 
-/// A change must be in force within the bound even when one call is lost on the way.
 template<class HostType, class Adapter>
-FollowerPace SteeringInstance<HostType, Adapter>::paceFor(const FleetBounds& aBounds)
+Duration SteeringInstance<HostType, Adapter>::tightestBound() const
 {
-  const Duration tightest = std::min(aBounds.mDrain, aBounds.mConfigurationApply);
-  return { 2 * tightest / 5, tightest / 5 };
+  return std::min(mSettings.mBounds.mDrain, mSettings.mBounds.mConfigurationApply);
+}
+
+/// Readers hear from the store this often, and the others from them, even when nothing changed.
+template<class HostType, class Adapter>
+Duration SteeringInstance<HostType, Adapter>::newsPeriod() const
+{
+  return fromSeconds(kPeriodShare * toSeconds(tightestBound()));
 }
 
 template<class HostType, class Adapter>
@@ -25,16 +30,17 @@
   , mFollowers{ Follower{ aHost,
                           aSettings.mStore,
                           Adapter::kOperatorTable,
-                          paceFor(aSettings.mBounds),
+                          { newsPeriod(), newsPeriod() / 2 },
                           tableListener(NewsTable::Operator) },
                 Follower{ aHost,
                           aSettings.mStore,
                           Adapter::kTargetTable,
-                          paceFor(aSettings.mBounds),
+                          { newsPeriod(), newsPeriod() / 2 },
                           tableListener(NewsTable::Targets) } }
   , mNews(aHost,
           aSettings.mPeerKeys,
-          { [this] { return progress(); },
+          newsPeriod(),
+          { [this] { return known(); },
             [this](const NewsProgress& aProgress) { return tell(aProgress); },
             [this](const PeerNews& aNews) { hear(aNews); },
             [this](bool aDisappointed) { return choosePeer(aDisappointed); } })
@@ -114,30 +120,30 @@
       onTargetRow(row);
     }
   }
-  if (!aNews.empty()) {
-    mNews.answerWaiting();
-  }
+  mNews.answerWaiting();
   joinPeers();
 }
 
 template<class HostType, class Adapter>
-NewsProgress SteeringInstance<HostType, Adapter>::progress() const
+PeerNewsQuestion SteeringInstance<HostType, Adapter>::known() const
 {
-  NewsProgress known;
+  PeerNewsQuestion own;
+  const TimePoint now = mHost.now();
   for (std::size_t i = 0; i < kNewsTables; ++i) {
-    known[i] = { mComplete[i], mCopies[i].newest() };
+    own.mProgress[i] = { mComplete[i], mCopies[i].newest() };
+    own.mAge = std::max(own.mAge, now - mCurrentAt[i]);
   }
-  return known;
+  return own;
 }
 
 template<class HostType, class Adapter>
 PeerNews SteeringInstance<HostType, Adapter>::tell(const NewsProgress& aProgress) const
 {
   PeerNews news;
-  const TimePoint now = mHost.now();
-  news.mProgress = progress();
+  const PeerNewsQuestion own = known();
+  news.mAge = own.mAge;
+  news.mProgress = own.mProgress;
   for (std::size_t i = 0; i < kNewsTables; ++i) {
-    news.mAge = std::max(news.mAge, now - mCurrentAt[i]);
     if (aProgress[i] != news.mProgress[i]) {
       news.mRows[i] = mCopies[i].changesSince(aProgress[i].mComplete);
     }
@@ -148,11 +154,11 @@
 template<class HostType, class Adapter>
 void SteeringInstance<HostType, Adapter>::hear(const PeerNews& aNews)
 {
-  mHeardAt = mHost.now() - aNews.mAge;
+  const TimePoint currentAt = mHost.now() - aNews.mAge;
   for (std::size_t i = 0; i < kNewsTables; ++i) {
     const NewsTable table = static_cast<NewsTable>(i);
     if (aNews.mProgress[i].mComplete > RecordVersion{}) {
-      setCurrent(table, aNews.mProgress[i].mComplete, mHeardAt);
+      setCurrent(table, aNews.mProgress[i].mComplete, currentAt);
     }
     mFollowers[i].skipTo(aNews.mProgress[i].mComplete);
     onNews(table, mCopies[i].apply(aNews.mRows[i]));
@@ -163,10 +169,8 @@
 template<class HostType, class Adapter>
 void SteeringInstance<HostType, Adapter>::chooseSource()
 {
-  const Duration stale =
-    3 * std::min(mSettings.mBounds.mDrain, mSettings.mBounds.mConfigurationApply) / 2;
-  const bool reader =
-    !mGossip || mRoles.isReader(mSettings.mInstance) || mHost.now() - mHeardAt > stale;
+  const Duration stale = fromSeconds(kStaleShare * toSeconds(tightestBound()));
+  const bool reader = mRoles.isReader(mSettings.mInstance) || known().mAge > stale;
   for (Follower& follower : mFollowers) {
     follower.setActive(reader);
   }
--- a/bulrushrun/steering/SteeringInstance.h
+++ b/bulrushrun/steering/SteeringInstance.h
@@ -92,7 +92,14 @@
   /// Instances named in a look-up's answer, where there are as many.
   static constexpr std::size_t kWantedAddresses = 2;
 
-  static FollowerPace paceFor(const FleetBounds& aBounds);
+  /// Parts of the tightest bound on news: how often an instance hears that it is current, and the
+  /// age from which it asks the store itself. Between them lies one lost answer; what is left of
+  /// the bound is for reading.
+  static constexpr double kPeriodShare = 0.36;
+  static constexpr double kStaleShare = 0.56;
+
+  Duration tightestBound() const;
+  Duration newsPeriod() const;
   DrainSteps drainSteps(std::function<void(std::size_t)> aOnExit);
   GossipListener gossipListener();
 
@@ -105,7 +112,7 @@
   void onPlanText(const std::string& aText);
   void setEvacuated(std::set<ZoneName> aZones);
   void onTargetRow(const StoreRow& aRow);
-  NewsProgress progress() const;
+  PeerNewsQuestion known() const;
   PeerNews tell(const NewsProgress& aProgress) const;
   void hear(const PeerNews& aNews);
   std::optional<Endpoint> choosePeer(bool aDisappointed);
@@ -133,8 +140,6 @@
   std::array<RecordVersion, kNewsTables> mComplete;
   std::array<TimePoint, kNewsTables> mCurrentAt;
   NewsExchange<HostType> mNews;
-  /// When what a peer told last was current at the store.
-  TimePoint mHeardAt;
   DrainSequence<HostType> mDrain;
   std::unique_ptr<Gossip<HostType>> mGossip;
   NewsRoles mRoles;
--- a/bulrushrun/store/NewsExchange.h
+++ b/bulrushrun/store/NewsExchange.h
@@ -17,8 +17,8 @@
 /// \brief What the exchange needs of the instance that owns it.
 struct NewsOwner
 {
-  /// \returns how far this instance knows the tables.
-  std::function<NewsProgress()> mProgress;
+  /// \returns how far this instance knows the tables, and how current that is.
+  std::function<PeerNewsQuestion()> mKnown;
   /// \returns what this instance knows beyond a progress, and how current it is.
   std::function<PeerNews(const NewsProgress&)> mTell;
   /// Takes what a peer told.
@@ -37,9 +37,11 @@
 public:
   using ResponderPtr = std::shared_ptr<typename HostType::ResponderType>;
 
-  NewsExchange(HostType& aHost, std::vector<std::string> aKeys, NewsOwner aOwner)
+  /// \param aPeriod  an answer is expected this often; one that knows nothing new says that
+  NewsExchange(HostType& aHost, std::vector<std::string> aKeys, Duration aPeriod, NewsOwner aOwner)
     : mHost(aHost)
     , mKeys(std::move(aKeys))
+    , mPeriod(aPeriod)
     , mOwner(std::move(aOwner))
   {
   }
@@ -54,8 +56,11 @@
     if (!question) {
       return false;
     }
-    const TimePoint until = mHost.now() + std::min(question->mWait, kMaxWait);
-    mWaiting.push_back({ aResponder, question->mProgress, until });
+    const TimePoint now = mHost.now();
+    mWaiting.push_back({ aResponder,
+                         question->mProgress,
+                         now - question->mAge,
+                         now + std::min(question->mWait, kMaxWait) });
     answerWaiting();
     return true;
   }
@@ -65,9 +70,11 @@
   void answerWaiting()
   {
     const TimePoint now = mHost.now();
-    const NewsProgress progress = mOwner.mProgress();
+    const PeerNewsQuestion own = mOwner.mKnown();
     std::erase_if(mWaiting, [&](const Waiting& aWaiting) {
-      if (!isBeyond(progress, aWaiting.mProgress) && now < aWaiting.mUntil) {
+      const bool fresher = now - own.mAge > aWaiting.mCurrentAt + mPeriod / kFresherPart;
+      const bool beyond = isBeyond(own.mProgress, aWaiting.mProgress);
+      if (!beyond && !fresher && now < aWaiting.mUntil) {
         return aWaiting.mResponder->isGone();
       }
       const PeerNews news = mOwner.mTell(aWaiting.mProgress);
@@ -80,21 +87,21 @@
   }
 
 private:
-  /// Longest time for which a question is held open.
-  static constexpr Duration kWait = std::chrono::milliseconds(1000);
   static constexpr Duration kMaxWait = std::chrono::seconds(10);
-  static constexpr Duration kSlack = std::chrono::milliseconds(400);
-  static constexpr Duration kPause = std::chrono::milliseconds(250);
+  /// Time on the way, beyond which a question without an answer is given up.
+  static constexpr Duration kSlack = std::chrono::milliseconds(300);
+  static constexpr Duration kPause = std::chrono::milliseconds(100);
+  /// An answer that tells no news is worth sending when it is fresher by this part of the period.
+  static constexpr int kFresherPart = 4;
   /// Roles change with the membership, so the choice is made anew after this span.
   static constexpr Duration kPeerSpan = std::chrono::seconds(8);
-  /// Knowledge older than this is no news; another peer is asked.
-  static constexpr Duration kStale = std::chrono::milliseconds(3000);
   static constexpr std::size_t kMaxAnswerBytes = std::size_t{ 8 } * 1024 * 1024;
 
   struct Waiting
   {
     ResponderPtr mResponder;
     NewsProgress mProgress;
+    TimePoint mCurrentAt;
     TimePoint mUntil;
   };
 
@@ -126,12 +133,14 @@
     }
     HttpRequest question;
     question.mMethod = "GET";
-    question.mPath = peerNewsQuestion(mOwner.mProgress(), kWait);
+    PeerNewsQuestion own = mOwner.mKnown();
+    own.mWait = mPeriod;
+    question.mPath = peerNewsPath(own);
     exchangeWhole(
       mHost,
       *mPeer,
       std::move(question),
-      kWait + kSlack,
+      mPeriod + kSlack,
       kMaxAnswerBytes,
       [this](ExchangeEnd aEnd, const HttpResponse& aResponse) { onAnswer(aEnd, aResponse); });
   }
@@ -140,7 +149,7 @@
   {
     const std::optional<PeerNews> news =
       aEnd == ExchangeEnd::Whole ? decodePeerNews(aResponse.mBody, mKeys) : std::nullopt;
-    mDisappointed = !news || news->mAge > kStale;
+    mDisappointed = !news || news->mAge > mPeriod + kSlack;
     if (news) {
       mOwner.mHear(*news);
     }
@@ -153,6 +162,7 @@
 
   HostType& mHost;
   std::vector<std::string> mKeys;
+  Duration mPeriod;
   NewsOwner mOwner;
   std::list<Waiting> mWaiting;
   std::optional<Endpoint> mPeer;
--- a/bulrushrun/store/PeerNews.cpp
+++ b/bulrushrun/store/PeerNews.cpp
@@ -11,8 +11,10 @@
 namespace {
 
 constexpr std::size_t kCodeBytes = 32;
-/// Versions of two tables, and the wait.
-constexpr std::size_t kQuestionNumbers = 2 * kNewsTables + 1;
+/// Longer spans are taken as this one.
+constexpr std::uint64_t kMaxMillis = 86'400'000;
+/// Versions of two tables, the age and the wait.
+constexpr std::size_t kQuestionNumbers = 2 * kNewsTables + 2;
 
 using WireRow = std::tuple<std::string, std::string, std::uint64_t, bool>;
 using WireTable = std::tuple<std::uint64_t, std::uint64_t, std::vector<WireRow>>;
@@ -30,14 +32,15 @@
 
 } // namespace
 
-std::string peerNewsQuestion(const NewsProgress& aProgress, Duration aWait)
+std::string peerNewsPath(const PeerNewsQuestion& aQuestion)
 {
   std::string path = std::string{ kPeerNewsPath } + "?";
-  for (const TableProgress& table : aProgress) {
-    path += std::to_string(table.mComplete.value()) + "," +
-            std::to_string(table.mNewest.value()) + ",";
+  for (const TableProgress& table : aQuestion.mProgress) {
+    path +=
+      std::to_string(table.mComplete.value()) + "," + std::to_string(table.mNewest.value()) + ",";
   }
-  return path + std::to_string(toMillis(aWait));
+  return path + std::to_string(toMillis(aQuestion.mAge)) + "," +
+         std::to_string(toMillis(aQuestion.mWait));
 }
 
 std::optional<PeerNewsQuestion> readPeerNewsQuestion(const std::string& aPath)
@@ -58,9 +61,14 @@
   }
   PeerNewsQuestion question;
   for (std::size_t i = 0; i < kNewsTables; ++i) {
-    question.mProgress[i] = { RecordVersion{ numbers[2 * i] }, RecordVersion{ numbers[2 * i + 1] } };
+    question.mProgress[i] = { RecordVersion{ numbers[2 * i] },
+                              RecordVersion{ numbers[2 * i + 1] } };
   }
-  question.mWait = std::chrono::milliseconds(numbers.back());
+  const auto millis = [](std::uint64_t aNumber) {
+    return std::chrono::milliseconds(std::min(aNumber, kMaxMillis));
+  };
+  question.mAge = millis(numbers[2 * kNewsTables]);
+  question.mWait = millis(numbers[2 * kNewsTables + 1]);
   return question;
 }
 
--- a/bulrushrun/store/PeerNews.h
+++ b/bulrushrun/store/PeerNews.h
@@ -45,16 +45,20 @@
 /// \brief Path under which instances ask each other for news.
 inline constexpr std::string_view kPeerNewsPath = "/peer/news";
 
-/// \brief \returns the path and query that ask for what lies beyond \a aProgress.
-std::string peerNewsQuestion(const NewsProgress& aProgress, Duration aWait);
-
-/// \brief Question as the other side reads it.
+/// \brief Question of one instance to another one.
 struct PeerNewsQuestion
 {
+  /// What lies beyond this is asked for.
   NewsProgress mProgress;
+  /// Time since the asker's knowledge was current at the store.
+  Duration mAge{ 0 };
+  /// Longest time for which the question may be held open.
   Duration mWait{ 0 };
 };
 
+/// \brief \returns the path and query of a question.
+std::string peerNewsPath(const PeerNewsQuestion& aQuestion);
+
 /// \brief Reads a question. \returns nothing when the path is another one
 std::optional<PeerNewsQuestion> readPeerNewsQuestion(const std::string& aPath);
 
--- a/bulrushrun/store/TableFollower.h
+++ b/bulrushrun/store/TableFollower.h
@@ -55,15 +55,13 @@
   {
   }
 
-  /// \brief Sets how long the store may hold a feed call, from the next call on.
-  void setPace(FollowerPace aPace) { mPace = aPace; }
-
   /// \brief Lets the feed rest, or goes on with it from the version that was reached.
   void setActive(bool aActive)
   {
     mActive = aActive;
     if (mActive && std::exchange(mResting, false)) {
-      follow();
+      // Learns at once whether anything changed meanwhile.
+      follow(Duration{ 0 });
     }
   }
 
@@ -120,14 +118,16 @@
     follow();
   }
 
-  void follow()
+  void follow() { follow(mPace.mWait); }
+
+  void follow(Duration aWait)
   {
     if (!mActive) {
       mResting = true;
       return;
     }
-    call(Protocol::followRows(mTable, mVersion, mPace.mWait),
-         mPace.mWait + mPace.mSlack,
+    call(Protocol::followRows(mTable, mVersion, aWait),
+         aWait + mPace.mSlack,
          [this](RowReadResult aResult) { onFeed(std::move(aResult)); });
   }
 
