--- a/bulrushrun/forwarding/tests/RequestMachineTest.cpp
+++ b/bulrushrun/forwarding/tests/RequestMachineTest.cpp
@@ -180,5 +180,16 @@
   });
 }
 
+/// Story: a request that reaches one instance only and may run at most once.
+TEST(ARequestWithoutAClaim, IsSentAtOnceAndNeverAgainAfterABrokenExchange)
+{
+  RequestMachine machine{ RepeatPolicy::Single };
+  EXPECT_EQ(machine.apply(E::Admitted), A::Enqueue);
+  machine.apply(E::Dispatched);
+  EXPECT_EQ(machine.apply(E::TargetDeclined), A::Retry);
+  machine.apply(E::Dispatched);
+  EXPECT_EQ(machine.apply(E::ExchangeBroken), A::SayUnknown);
+}
+
 } // namespace
 } // namespace bulrushrun
--- a/bulrushrun/net/tests/HttpTest.cpp
+++ b/bulrushrun/net/tests/HttpTest.cpp
@@ -30,11 +30,14 @@
 };
 
 /// Sends one request and runs the loop until it ended.
-Seen exchange(EventLoop& aLoop, const Endpoint& aTo, const HttpRequest& aRequest)
+Seen exchange(EventLoop& aLoop,
+              const Endpoint& aTo,
+              const HttpRequest& aRequest,
+              ExchangeListener aListener = {})
 {
   HttpClient client{ aLoop };
   Seen seen;
-  ExchangeListener listener;
+  ExchangeListener listener = std::move(aListener);
   listener.mOnHead = [&](const ResponseHead& aHead) { seen.mHead = aHead; };
   listener.mOnBody = [&](std::string_view aBytes) {
     seen.mBody.append(aBytes);
@@ -151,6 +154,38 @@
   }
 }
 
+TEST_F(AWholeAnswer, MayEndWithItsConnectionWhereTheListenerAcceptsThat)
+{
+  const RawPeer peer{ "HTTP/1.1 200 OK\r\n\r\nhello world" };
+  ExchangeListener listener;
+  listener.mEndsWithConnection = true;
+  const Seen seen = exchange(mLoop, kPeer, { "GET", "/", {}, {} }, std::move(listener));
+  EXPECT_EQ(seen.mEnd, ExchangeEnd::Whole);
+  EXPECT_EQ(seen.mBody, "hello world");
+}
+
+TEST_F(AWholeAnswer, WithALengthIsBrokenWhenItsConnectionEndsEarlyAllTheSame)
+{
+  const RawPeer peer{ "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhello world" };
+  ExchangeListener listener;
+  listener.mEndsWithConnection = true;
+  const Seen seen = exchange(mLoop, kPeer, { "GET", "/", {}, {} }, std::move(listener));
+  EXPECT_EQ(seen.mEnd, ExchangeEnd::Broken);
+}
+
+TEST_F(AWholeAnswer, IsWaitedForBehindAnAnswerToAnotherRequest)
+{
+  const RawPeer peer{ "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 5\r\n\r\nalien"
+                      "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 4\r\n\r\nmine" };
+  ExchangeListener listener;
+  listener.mIsMine = [](const ResponseHead& aHead) {
+    return *findHeader(aHead.mHeaders, "X-Id") == "2";
+  };
+  const Seen seen = exchange(mLoop, kPeer, { "GET", "/", {}, {} }, std::move(listener));
+  EXPECT_EQ(seen.mEnd, ExchangeEnd::Whole);
+  EXPECT_EQ(seen.mBody, "mine");
+}
+
 TEST_F(AWholeAnswer, SkipsInformationalAnswersBeforeIt)
 {
   const RawPeer peer{ "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
--- /dev/null
+++ b/bulrushrun/steering/tests/SteeringWorld.cpp
@@ -0,0 +1,263 @@
+#include "bulrushrun/steering/tests/SteeringWorld.h"
+
+namespace bulrushrun::testing_world {
+
+namespace {
+
+constexpr Endpoint kStoreEndpoint{ 0x0a090909, 8642 };
+constexpr std::uint16_t kCallerPort = 8001;
+constexpr std::uint16_t kInternalPort = 8004;
+constexpr std::uint16_t kPeerPort = 8005;
+constexpr std::uint16_t kTargetPort = 9000;
+
+} // namespace
+
+TimePoint WorldHost::now() const
+{
+  return mWorld.mNow;
+}
+
+TimerId WorldHost::after(Duration aDelay, TimerQueue::Callback aCallback)
+{
+  return mWorld.mTimers.add(mWorld.mNow + aDelay, std::move(aCallback));
+}
+
+void WorldHost::cancelTimer(TimerId aTimer)
+{
+  mWorld.mTimers.cancel(aTimer);
+}
+
+ExchangeId WorldHost::startExchange(const Endpoint& aTo,
+                                    HttpRequest aRequest,
+                                    ConnectionUse,
+                                    ExchangeListener aListener)
+{
+  const ExchangeId id = mWorld.mLast = mWorld.mLast.next();
+  mWorld.mExchanges[id.value()] = { mSelf, aTo, std::move(aRequest), std::move(aListener) };
+  after(World::kDelay, [this, id] { mWorld.deliver(id); });
+  return id;
+}
+
+void WorldHost::abortExchange(ExchangeId aExchange)
+{
+  mWorld.mExchanges.erase(aExchange.value());
+  mWorld.mFeeds.erase(aExchange.value());
+}
+
+void WorldHost::sendToPeer(const Endpoint& aPeer, const std::string& aBytes)
+{
+  after(World::kDelay, [this, aPeer, aBytes] {
+    if (World::Place* place = mWorld.placeAt(aPeer.mAddress)) {
+      place->mNode->handlePeer(aBytes);
+    }
+  });
+}
+
+Node& World::add(const std::string& aName, const std::string& aZone)
+{
+  Place& place = mNodes[aName];
+  SteeringSettings& settings = place.mSettings;
+  const std::uint32_t address = ++mLastAddress;
+  settings.mInstance = InstanceId{ aName };
+  settings.mZone = ZoneName{ aZone };
+  settings.mRegions = { { ZoneName{ "za" }, RegionName{ "ra" } },
+                        { ZoneName{ "zb" }, RegionName{ "rb" } } };
+  settings.mListen = { address, kCallerPort };
+  settings.mMetrics = { address, kInternalPort };
+  settings.mPeer = { address, kPeerPort };
+  settings.mStore = kStoreEndpoint;
+  settings.mSeeds = { { 0x0a000001, kPeerPort } };
+  settings.mPeerKeys = { "a key for the tests" };
+  settings.mBounds.mRetryRatio = 0.2;
+  settings.mBounds.mRetrySlack = 100;
+  place.mHost = std::make_unique<WorldHost>(*this, settings.mListen, address);
+  place.mNode = std::make_unique<Node>(*place.mHost, settings, [](std::size_t) {});
+  return *place.mNode;
+}
+
+World::Place* World::placeAt(std::uint32_t aAddress)
+{
+  for (auto place = mNodes.begin(); place != mNodes.end(); ++place) {
+    if (place->second.mSettings.mListen.mAddress == aAddress) {
+      return &place->second;
+    }
+  }
+  return nullptr;
+}
+
+void World::kill(const std::string& aName)
+{
+  // The timers of the dead instance stay armed, so it is only cut off from everything.
+  mNodes.at(aName).mSettings.mListen = {};
+  mTurnedAway.insert(aName);
+}
+
+void World::run(Duration aSpan)
+{
+  const TimePoint until = mNow + aSpan;
+  while (const std::optional<TimePoint> due = mTimers.nextDue()) {
+    if (*due > until) {
+      break;
+    }
+    mNow = std::max(mNow, *due);
+    mTimers.runOne(mNow);
+    serveFeeds();
+  }
+  mNow = until;
+}
+
+void World::deliver(ExchangeId aExchange)
+{
+  const auto found = mExchanges.find(aExchange.value());
+  if (found == mExchanges.end()) {
+    return;
+  }
+  const Endpoint to = found->second.mTo;
+  if (to == kStoreEndpoint) {
+    toStore(aExchange);
+  } else if (Place* place = placeAt(to.mAddress)) {
+    toNode(*place, aExchange);
+  }
+}
+
+void World::toStore(ExchangeId aExchange)
+{
+  const OpenExchange& open = mExchanges.at(aExchange.value());
+  const Place* asker = placeAt(open.mFrom.mAddress);
+  if (asker == nullptr || mTurnedAway.contains(asker->mSettings.mInstance.text())) {
+    return;
+  }
+  ++mStoreCalls;
+  if (const std::optional<HttpResponse> response = mStore.handle(open.mRequest)) {
+    finish(aExchange, *response);
+    return;
+  }
+  mFeeds.insert(aExchange.value());
+  mTimers.add(mNow + std::chrono::milliseconds(900), [this, aExchange] {
+    if (mFeeds.erase(aExchange.value()) > 0) {
+      finish(aExchange, mStore.emptyFeed());
+    }
+  });
+}
+
+/// Feed calls that wait are answered by a change.
+void World::serveFeeds()
+{
+  const std::set<std::uint64_t> waiting = mFeeds;
+  for (const std::uint64_t number : waiting) {
+    const std::optional<HttpResponse> response = mStore.handle(mExchanges.at(number).mRequest);
+    if (response) {
+      mFeeds.erase(number);
+      finish(ExchangeId{ number }, *response);
+    }
+  }
+}
+
+void World::toNode(Place& aPlace, ExchangeId aExchange)
+{
+  const std::shared_ptr<KeptResponder> responder = std::make_shared<KeptResponder>();
+  KeptResponder* raw = responder.get();
+  responder->mOnEnd = [this, raw, aExchange](bool) {
+    finish(aExchange, { raw->mHead, raw->mBody });
+  };
+  aPlace.mNode->handleInternal(mExchanges.at(aExchange.value()).mRequest, responder);
+}
+
+void World::finish(ExchangeId aExchange, const HttpResponse& aResponse)
+{
+  mTimers.add(mNow + kDelay, [this, aExchange, aResponse] {
+    const auto found = mExchanges.find(aExchange.value());
+    if (found == mExchanges.end()) {
+      return;
+    }
+    const ExchangeListener listener = found->second.mListener;
+    mExchanges.erase(found);
+    if (listener.mOnHead) {
+      listener.mOnHead(aResponse.mHead);
+    }
+    if (listener.mOnBody && !aResponse.mBody.empty()) {
+      listener.mOnBody(aResponse.mBody);
+    }
+    listener.mOnEnd(ExchangeEnd::Whole, "");
+  });
+}
+
+void World::putTarget(const std::string& aId,
+                      const std::string& aState,
+                      int aSlots,
+                      int aColdMillis)
+{
+  if (!mTargets.contains(aId)) {
+    mTargets[aId] = { 0x0a800000 + static_cast<std::uint32_t>(mTargets.size()), kTargetPort };
+  }
+  mStore.put("servers",
+             aId,
+             R"({"address":")" + mTargets[aId].text() +
+               R"(","born":1,"info":{"service":"s","version":"v1","zone":"za","slots":)" +
+               std::to_string(aSlots) + R"(},"status":{"state":")" + aState +
+               R"(","sequence":1,"coldRemainingMs":)" + std::to_string(aColdMillis) + "}}");
+}
+
+void World::putPlan(int aVersion, const std::string& aKind, const std::string& aExtra)
+{
+  mStore.put("op",
+             "config",
+             R"({"version":"r)" + std::to_string(aVersion) +
+               R"(","routes":[{"name":"r1","host":"shop","pathPrefix":"/a/","kind":")" + aKind +
+               R"(","timeoutMs":2000,"service":"s","maxAttempts":2,"sticky":true)" + aExtra +
+               R"(}],"services":[{"name":"s","coldStartS":3.0,"coldPerS":2}],)" +
+               R"("limits":{"maxHeaderBytes":1000,"maxBodyBytes":1000}})");
+}
+
+std::shared_ptr<KeptResponder> World::call(const std::string& aNode,
+                                           const std::string& aId,
+                                           const std::string& aObject)
+{
+  HttpRequest request;
+  request.mMethod = "GET";
+  request.mPath = "/a/x";
+  request.mAuthority = "shop";
+  request.mHeaders = { { "X-Request-Id", aId }, { "X-Request-Timeout-Ms", "3000" } };
+  if (!aObject.empty()) {
+    request.mHeaders.push_back({ "X-Affinity-Key", aObject });
+  }
+  const std::shared_ptr<KeptResponder> responder = std::make_shared<KeptResponder>();
+  node(aNode).handleCaller(request, responder);
+  run(2 * kDelay);
+  return responder;
+}
+
+std::vector<ExchangeId> World::atTargets() const
+{
+  std::vector<ExchangeId> open;
+  for (const auto& [number, exchange] : mExchanges) {
+    if (exchange.mTo.mPort == kTargetPort) {
+      open.emplace_back(number);
+    }
+  }
+  return open;
+}
+
+void World::answer(ExchangeId aExchange, int aStatus, Headers aHeaders, const std::string& aBody)
+{
+  const OpenExchange& open = exchange(aExchange);
+  const std::string* id = findHeader(open.mRequest.mHeaders, "X-Request-Id");
+  aHeaders.push_back({ "X-Request-Id", id == nullptr ? "" : *id });
+  finish(aExchange, { { aStatus, std::move(aHeaders), std::nullopt }, aBody });
+  run(2 * kDelay);
+}
+
+void World::answerWell(ExchangeId aExchange)
+{
+  answer(aExchange, 200, { { "X-Response-Signature", "sig" } }, "body");
+}
+
+void World::breakOff(ExchangeId aExchange, ExchangeEnd aEnd)
+{
+  const ExchangeListener listener = mExchanges.at(aExchange.value()).mListener;
+  mExchanges.erase(aExchange.value());
+  listener.mOnEnd(aEnd, "broken by the test");
+  run(2 * kDelay);
+}
+
+} // namespace bulrushrun::testing_world
--- /dev/null
+++ b/bulrushrun/steering/tests/SteeringWorld.h
@@ -0,0 +1,173 @@
+#pragma once
+
+#include "bulrushrun/steering.h"
+#include "platform/Adapter.h"
+#include "standins/RowsStore.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace bulrushrun::testing_world {
+
+/// \brief Answer channel that keeps what it was given.
+class KeptResponder
+{
+public:
+  void start(const ResponseHead& aHead) { mHead = aHead; }
+  std::size_t write(std::string_view aBytes)
+  {
+    mBody.append(aBytes);
+    return 0;
+  }
+  void finish() { end(true); }
+  void abort() { end(false); }
+  bool isGone() { return mGone; }
+
+  std::function<void()> mOnWritable;
+  std::function<void()> mOnGone;
+  /// Runs when the answer ended; the flag is true when it is whole.
+  std::function<void(bool)> mOnEnd;
+  ResponseHead mHead;
+  std::string mBody;
+  std::optional<bool> mWhole;
+  bool mGone = false;
+
+private:
+  void end(bool aWhole)
+  {
+    mWhole = aWhole;
+    if (mOnEnd) {
+      mOnEnd(aWhole);
+    }
+  }
+};
+
+/// \brief One exchange in progress, as the other end sees it.
+struct OpenExchange
+{
+  Endpoint mFrom;
+  Endpoint mTo;
+  HttpRequest mRequest;
+  ExchangeListener mListener;
+};
+
+class World;
+
+/// \brief Surroundings of one instance in the world.
+class WorldHost
+{
+public:
+  using ResponderType = KeptResponder;
+
+  WorldHost(World& aWorld, const Endpoint& aSelf, std::uint64_t aSeed)
+    : mWorld(aWorld)
+    , mSelf(aSelf)
+    , mRandom(aSeed)
+  {
+  }
+
+  TimePoint now() const;
+  Random& random() { return mRandom; }
+  TimerId after(Duration aDelay, TimerQueue::Callback aCallback);
+  void cancelTimer(TimerId aTimer);
+  ExchangeId startExchange(const Endpoint& aTo,
+                           HttpRequest aRequest,
+                           ConnectionUse aUse,
+                           ExchangeListener aListener);
+  void abortExchange(ExchangeId aExchange);
+  void resumeExchange(ExchangeId) {}
+  void sendToPeer(const Endpoint& aPeer, const std::string& aBytes);
+  void log(const Event& aEvent, const std::string& aText)
+  {
+    mLog.push_back(std::string{ aEvent.mName } + " " + aText);
+  }
+
+  /// All that was logged.
+  std::vector<std::string> mLog;
+
+private:
+  World& mWorld;
+  Endpoint mSelf;
+  Random mRandom;
+};
+
+using Node = SteeringInstance<WorldHost, platform::Adapter>;
+
+/// \brief Some instances, a store and targets under a virtual clock. Targets hold each exchange
+/// until the test answers it.
+class World
+{
+public:
+  static constexpr Duration kDelay = std::chrono::milliseconds(2);
+
+  /// \brief Adds an instance, not started yet.
+  Node& add(const std::string& aName, const std::string& aZone);
+  Node& node(const std::string& aName) { return *mNodes.at(aName).mNode; }
+  WorldHost& host(const std::string& aName) { return *mNodes.at(aName).mHost; }
+  /// \brief Lets an instance vanish without a word.
+  void kill(const std::string& aName);
+  /// \brief Runs until the virtual time has passed.
+  void run(Duration aSpan);
+  /// \brief Registers a target in the store.
+  void putTarget(const std::string& aId,
+                 const std::string& aState = "ready",
+                 int aSlots = 4,
+                 int aColdMillis = 0);
+  /// \brief Writes a configuration with one route, `/a/` of host `shop`, to service `s`.
+  void putPlan(int aVersion, const std::string& aKind, const std::string& aExtra = "");
+  /// \brief Sends a request of a caller to an instance.
+  std::shared_ptr<KeptResponder> call(const std::string& aNode,
+                                      const std::string& aId,
+                                      const std::string& aObject = "");
+  /// \brief \returns the open exchanges with targets, oldest first.
+  std::vector<ExchangeId> atTargets() const;
+  const OpenExchange& exchange(ExchangeId aExchange) const
+  {
+    return mExchanges.at(aExchange.value());
+  }
+  /// \brief Answers an exchange at a target.
+  void answer(ExchangeId aExchange, int aStatus, Headers aHeaders, const std::string& aBody);
+  /// \brief Answers an exchange well.
+  void answerWell(ExchangeId aExchange);
+  /// \brief Ends an exchange without an answer.
+  void breakOff(ExchangeId aExchange, ExchangeEnd aEnd = ExchangeEnd::Broken);
+
+  RowsStore mStore;
+  /// Instances that the store does not answer.
+  std::set<std::string> mTurnedAway;
+  /// Calls that reached the store.
+  std::size_t mStoreCalls = 0;
+
+private:
+  friend class WorldHost;
+
+  struct Place
+  {
+    std::unique_ptr<WorldHost> mHost;
+    std::unique_ptr<Node> mNode;
+    SteeringSettings mSettings;
+  };
+
+  void deliver(ExchangeId aExchange);
+  void toStore(ExchangeId aExchange);
+  void toNode(Place& aPlace, ExchangeId aExchange);
+  void finish(ExchangeId aExchange, const HttpResponse& aResponse);
+  void serveFeeds();
+  Place* placeAt(std::uint32_t aAddress);
+
+  TimePoint mNow{ std::chrono::seconds(1000) };
+  TimerQueue mTimers;
+  std::map<std::string, Place> mNodes;
+  std::map<std::string, Endpoint> mTargets;
+  std::map<std::uint64_t, OpenExchange> mExchanges;
+  std::set<std::uint64_t> mFeeds;
+  ExchangeId mLast;
+  std::uint32_t mLastAddress = 0x0a000000;
+};
+
+} // namespace bulrushrun::testing_world
--- /dev/null
+++ b/bulrushrun/steering/tests/TargetPickerTest.cpp
@@ -0,0 +1,256 @@
+#include "bulrushrun/steering/TargetPicker.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace bulrushrun {
+namespace {
+
+/// Story: one service of 18 targets with three slots each, in six zones of three regions.
+class APool : public ::testing::Test
+{
+protected:
+  static constexpr int kTargets = 18;
+
+  APool()
+  {
+    for (int i = 0; i < kTargets; ++i) {
+      TargetEntry entry;
+      entry.mId = TargetId{ "t" + std::to_string(i) };
+      entry.mService = ServiceName{ "s" };
+      entry.mSlots = 3;
+      entry.mZone = ZoneName{ "z" + std::to_string(i % 6) };
+      mTable.update(entry, mNow);
+    }
+    for (int i = 0; i < 6; ++i) {
+      mContext.mRegions[ZoneName{ "z" + std::to_string(i) }] =
+        RegionName{ "r" + std::to_string(i / 2) };
+    }
+    mContext.mZone = ZoneName{ "z0" };
+    mContext.mStarted = mNow;
+    mNow += std::chrono::seconds(10);
+  }
+
+  Pick pick(const PickQuery& aQuery)
+  {
+    return mPicker.pick(aQuery, mTable.usable(ServiceName{ "s" }, mNow), mContext, mNow);
+  }
+  Pick pickObject(std::uint64_t aObject)
+  {
+    PickQuery query;
+    query.mAffinity = Affinity::Object;
+    query.mObject = mixBits(aObject);
+    return pick(query);
+  }
+  TargetId homeOf(std::uint64_t aObject) { return pickObject(aObject).mTarget->mEntry.mId; }
+  void send(const TargetId& aTarget, int aCount = 1)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      mPicker.stats(aTarget).onSent();
+    }
+  }
+
+  TimePoint mNow{ std::chrono::seconds(100) };
+  TargetTable mTable;
+  TargetPicker mPicker;
+  PickContext mContext;
+};
+
+class AWarmObject : public APool
+{};
+
+TEST_F(AWarmObject, WaitsAtItsTargetWhileThatIsALittleOverFull)
+{
+  const TargetId home = homeOf(7);
+  send(home, 4);
+  EXPECT_EQ(homeOf(7), home) << "a cold target takes longer than a short wait";
+}
+
+/// The pattern of the heaviest days: some targets vanish under load. Their objects must not spread
+/// over all that are left, or each has to warm up everywhere and the service never recovers.
+TEST_F(AWarmObject, SpreadsOverTwoTargetsAtMostWhenAllAreBusy)
+{
+  for (int i = 0; i < kTargets; ++i) {
+    send(TargetId{ "t" + std::to_string(i) }, 2);
+  }
+  std::set<TargetId> used;
+  for (int i = 0; i < 100; ++i) {
+    const Pick choice = pickObject(7);
+    if (choice.mTarget == nullptr) {
+      EXPECT_EQ(choice.mFailure, PickFailure::AllBusy);
+      break;
+    }
+    used.insert(choice.mTarget->mEntry.mId);
+    send(choice.mTarget->mEntry.mId);
+  }
+  EXPECT_LE(used.size(), 2U);
+}
+
+TEST_F(AWarmObject, GoesToAnIdleTargetRatherThanBeRefused)
+{
+  const TargetId first = homeOf(7);
+  send(first, 9);
+  const TargetId second = homeOf(7);
+  send(second, 9);
+  const Pick third = pickObject(7);
+  ASSERT_NE(third.mTarget, nullptr);
+  EXPECT_NE(third.mTarget->mEntry.mId, first);
+  EXPECT_NE(third.mTarget->mEntry.mId, second);
+}
+
+TEST_F(AWarmObject, MovesOnlyIfItsOwnTargetIsLost)
+{
+  constexpr int kObjects = 2000;
+  std::map<int, TargetId> before;
+  for (int i = 0; i < kObjects; ++i) {
+    before[i] = homeOf(static_cast<std::uint64_t>(i));
+  }
+  const TargetId lost{ "t5" };
+  TargetEntry entry = mTable.find(lost)->mEntry;
+  entry.mDraining = true;
+  mTable.update(entry, mNow);
+  int moved = 0;
+  int owned = 0;
+  for (int i = 0; i < kObjects; ++i) {
+    owned += before[i] == lost ? 1 : 0;
+    moved += homeOf(static_cast<std::uint64_t>(i)) != before[i] ? 1 : 0;
+  }
+  EXPECT_EQ(moved, owned);
+  EXPECT_LE(owned, kObjects * 12 / (kTargets * 10) + 30);
+}
+
+class ALargeAnswer : public APool
+{};
+
+TEST_F(ALargeAnswer, ComesFromTheOwnZoneWhileAnyTargetThereHasRoom)
+{
+  PickQuery query;
+  query.mAffinity = Affinity::Object;
+  query.mLargeAnswer = true;
+  for (std::uint64_t object = 0; object < 50; ++object) {
+    query.mObject = mixBits(object);
+    EXPECT_EQ(pick(query).mTarget->mEntry.mZone, ZoneName{ "z0" });
+  }
+}
+
+class AFailingTarget : public APool
+{
+protected:
+  void fail(const TargetId& aTarget, SendResult aResult, int aTimes)
+  {
+    for (int i = 0; i < aTimes; ++i) {
+      mPicker.stats(aTarget).onSent();
+      mPicker.stats(aTarget).onEnd(aResult, std::chrono::milliseconds(5), mNow);
+    }
+  }
+};
+
+TEST_F(AFailingTarget, IsEjectedAfterTwoSilentFailuresAndComesBackOnProbation)
+{
+  const TargetId home = homeOf(7);
+  fail(home, SendResult::Broken, 2);
+  EXPECT_NE(homeOf(7), home);
+  mNow += std::chrono::milliseconds(1100);
+  EXPECT_EQ(homeOf(7), home);
+  send(home);
+  EXPECT_NE(homeOf(7), home) << "one request at a time proves it";
+}
+
+TEST_F(AFailingTarget, IsEjectedWhenItFailsALargePartOfItsRequests)
+{
+  const TargetId home = homeOf(7);
+  for (int i = 0; i < 8; ++i) {
+    fail(home, SendResult::FailedAnswer, 1);
+  }
+  EXPECT_NE(homeOf(7), home);
+}
+
+TEST_F(AFailingTarget, IsStillUsedWhenMostOfThemFail)
+{
+  for (int i = 0; i < kTargets; ++i) {
+    fail(TargetId{ "t" + std::to_string(i) }, SendResult::Broken, 2);
+  }
+  EXPECT_NE(pickObject(7).mTarget, nullptr);
+}
+
+class AnEvacuatedZone : public APool
+{};
+
+TEST_F(AnEvacuatedZone, GetsNothing)
+{
+  mContext.mEvacuated = { ZoneName{ "z0" } };
+  for (std::uint64_t object = 0; object < 200; ++object) {
+    EXPECT_NE(pickObject(object).mTarget->mEntry.mZone, ZoneName{ "z0" });
+  }
+}
+
+class ARouteWithHomes : public APool
+{};
+
+TEST_F(ARouteWithHomes, IsServedThereOnly)
+{
+  PickQuery query;
+  query.mHomeRegions = { RegionName{ "r1" } };
+  for (int i = 0; i < 12; ++i) {
+    const Pick choice = pick(query);
+    ASSERT_NE(choice.mTarget, nullptr);
+    EXPECT_EQ(mContext.mRegions.at(choice.mTarget->mEntry.mZone), RegionName{ "r1" });
+    send(choice.mTarget->mEntry.mId);
+  }
+}
+
+/// Story: targets whose registrations vanish.
+class VanishedTargets : public APool
+{
+protected:
+  void vanish(int aFirst, int aLast)
+  {
+    for (int i = aFirst; i < aLast; ++i) {
+      mTable.remove(TargetId{ "t" + std::to_string(i) }, mNow);
+    }
+  }
+  std::size_t usable() const { return mTable.usable(ServiceName{ "s" }, mNow).size(); }
+};
+
+TEST_F(VanishedTargets, GetNothingWhenFewAreGone)
+{
+  vanish(0, 4);
+  EXPECT_EQ(usable(), 14U);
+}
+
+TEST_F(VanishedTargets, AreALastResortForAWhileWhenMostAreGone)
+{
+  vanish(0, 14);
+  EXPECT_EQ(usable(), 18U) << "the store may have been away, and heartbeats lost";
+  mNow += TargetTable::kVanishedSpan;
+  mTable.sweep(mNow);
+  EXPECT_EQ(usable(), 4U);
+}
+
+TEST_F(VanishedTargets, ThatAnnouncedTheirDepartureGetNothingAtOnce)
+{
+  for (int i = 0; i < 14; ++i) {
+    TargetEntry entry = mTable.find(TargetId{ "t" + std::to_string(i) })->mEntry;
+    entry.mDraining = true;
+    EXPECT_EQ(mTable.update(entry, mNow), TargetTable::Change::Draining);
+    entry.mDraining = false;
+    mTable.update(entry, mNow);
+  }
+  vanish(0, 14);
+  EXPECT_EQ(usable(), 4U);
+}
+
+TEST_F(VanishedTargets, AreAnotherLifeWhenTheyStartAnew)
+{
+  TargetEntry entry = mTable.find(TargetId{ "t1" })->mEntry;
+  entry.mDraining = true;
+  mTable.update(entry, mNow);
+  entry.mDraining = false;
+  entry.mIncarnation = Incarnation{ 5 };
+  EXPECT_EQ(mTable.update(entry, mNow), TargetTable::Change::Restarted);
+  EXPECT_EQ(usable(), 18U);
+}
+
+} // namespace
+} // namespace bulrushrun
--- /dev/null
+++ b/standins/RowsStore.cpp
@@ -0,0 +1,182 @@
+#include "standins/RowsStore.h"
+
+#include "bulrushrun/store.h"
+
+#include <nlohmann/json.hpp>
+
+#include <vector>
+
+namespace bulrushrun {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t kDefaultLimit = 500;
+
+HttpResponse answer(int aStatus, const Json& aBody)
+{
+  return { { aStatus, { { "Content-Type", "application/json" } }, std::nullopt }, aBody.dump() };
+}
+
+std::string unescape(std::string_view aText)
+{
+  std::string plain;
+  for (std::size_t i = 0; i < aText.size(); ++i) {
+    if (aText[i] == '%' && i + 2 < aText.size()) {
+      plain += static_cast<char>(std::stoi(std::string{ aText.substr(i + 1, 2) }, nullptr, 16));
+      i += 2;
+    } else {
+      plain += aText[i];
+    }
+  }
+  return plain;
+}
+
+/// \returns a parameter of a query, empty when it is missing.
+std::string parameter(const std::string& aQuery, const std::string& aName)
+{
+  std::size_t at = 0;
+  while (at < aQuery.size()) {
+    const std::size_t end = std::min(aQuery.find('&', at), aQuery.size());
+    const std::string pair = aQuery.substr(at, end - at);
+    if (pair.starts_with(aName + "=")) {
+      return unescape(std::string_view{ pair }.substr(aName.size() + 1));
+    }
+    at = end + 1;
+  }
+  return "";
+}
+
+} // namespace
+
+std::uint64_t RowsStore::put(const std::string& aTable,
+                             const std::string& aKey,
+                             const std::string& aValue)
+{
+  mRows[{ aTable, aKey }] = { aValue, ++mVersion, false };
+  return mVersion;
+}
+
+void RowsStore::remove(const std::string& aTable, const std::string& aKey)
+{
+  mRows[{ aTable, aKey }] = { "", ++mVersion, true };
+}
+
+std::optional<HttpResponse> RowsStore::handle(const HttpRequest& aRequest)
+{
+  if (mDown) {
+    return answer(*mDown, Json::object());
+  }
+  const std::size_t mark = std::min(aRequest.mPath.find('?'), aRequest.mPath.size());
+  const std::string path = aRequest.mPath.substr(0, mark);
+  const std::string query = mark < aRequest.mPath.size() ? aRequest.mPath.substr(mark + 1) : "";
+  if (path == "/-/rows-tx") {
+    return transact(aRequest.mBody);
+  }
+  if (path == "/-/rows-get") {
+    return readRange(query);
+  }
+  if (path == "/-/rows-feed") {
+    return readFeed(query);
+  }
+  return answer(404, { { "error", "no such call" } });
+}
+
+std::uint64_t RowsStore::versionOf(const Key& aKey) const
+{
+  const auto row = mRows.find(aKey);
+  return row == mRows.end() || row->second.mRemoved ? 0 : row->second.mVersion;
+}
+
+HttpResponse RowsStore::transact(const std::string& aBody)
+{
+  const Json body = Json::parse(aBody, nullptr, false);
+  if (!body.is_object()) {
+    return answer(400, { { "error", "not an object" } });
+  }
+  for (const Json& row : body.value("expect", Json::array())) {
+    const Key key{ row.at("table"), row.at("key") };
+    if (versionOf(key) != row.at("ver").get<std::uint64_t>()) {
+      return answer(412, { { "ver", mVersion }, { "nowMs", 0 }, { "rows", Json::array() } });
+    }
+  }
+  ++mVersion;
+  for (const Json& row : body.value("put", Json::array())) {
+    mRows[{ row.at("table"), row.at("key") }] = {
+      fromBase64(row.at("value").get<std::string>()).value_or(""), mVersion, false
+    };
+  }
+  for (const Json& row : body.value("remove", Json::array())) {
+    mRows[{ row.at("table"), row.at("key") }] = { "", mVersion, true };
+  }
+  return answer(200, { { "ver", mVersion }, { "nowMs", 0 } });
+}
+
+Json RowsStore::rowJson(const Key& aKey, const Row& aRow) const
+{
+  Json json{
+    { "table", aKey.first }, { "part", "" }, { "key", aKey.second }, { "ver", aRow.mVersion }
+  };
+  if (aRow.mRemoved) {
+    json["tombstone"] = true;
+  } else {
+    json["value"] = toBase64(aRow.mValue);
+  }
+  return json;
+}
+
+HttpResponse RowsStore::readRange(const std::string& aQuery) const
+{
+  const std::string table = parameter(aQuery, "table");
+  const std::string limitText = parameter(aQuery, "limit");
+  const std::size_t limit = limitText.empty() ? kDefaultLimit : std::stoul(limitText);
+  Json rows = Json::array();
+  bool more = false;
+  for (auto row = mRows.lower_bound({ table, parameter(aQuery, "from") });
+       row != mRows.end() && row->first.first == table;
+       ++row) {
+    if (row->second.mRemoved) {
+      continue;
+    }
+    if (rows.size() == limit) {
+      more = true;
+      break;
+    }
+    rows.push_back(rowJson(row->first, row->second));
+  }
+  return answer(200,
+                { { "rows", rows }, { "hasMore", more }, { "ver", mVersion }, { "nowMs", 0 } });
+}
+
+std::optional<HttpResponse> RowsStore::readFeed(const std::string& aQuery) const
+{
+  const std::string table = parameter(aQuery, "table");
+  const std::uint64_t after = std::stoull(parameter(aQuery, "after"));
+  if (after < mOldest) {
+    return answer(410, { { "error", "the history is gone" } });
+  }
+  std::map<std::uint64_t, std::vector<Json>> changed;
+  for (const auto& [key, row] : mRows) {
+    if (key.first == table && row.mVersion > after) {
+      changed[row.mVersion].push_back(rowJson(key, row));
+    }
+  }
+  if (changed.empty()) {
+    return parameter(aQuery, "waitMs") == "0" ? std::optional{ emptyFeed() } : std::nullopt;
+  }
+  Json rows = Json::array();
+  for (const auto& [version, jsons] : changed) {
+    for (const Json& json : jsons) {
+      rows.push_back(json);
+    }
+  }
+  return answer(200, { { "rows", rows }, { "ver", mVersion }, { "nowMs", 0 } });
+}
+
+HttpResponse RowsStore::emptyFeed() const
+{
+  return answer(200, { { "rows", Json::array() }, { "ver", mVersion }, { "nowMs", 0 } });
+}
+
+} // namespace bulrushrun
