A restarted instance takes its true share of cold targets, and no rows that are gone

Rows of the instances' table carry the zone; until it was read, cold targets get nothing from a new instance, and for ten seconds the larger of the two counts holds. A row that is unknown although everything up to its version is known was removed.

--- a/bulrushrun/limits/ColdAdmission.h
+++ b/bulrushrun/limits/ColdAdmission.h
@@ -19,14 +19,17 @@
 public:
   /// \brief Takes one request's place in the window. \returns false when the share is used up
   /// \param aFleetBound  requests a second that the target may get from all instances together
-  /// \param aSharers  instances that may send to it
+  /// \param aSharers  instances that may send to it; zero when that is unknown
   bool admit(const TargetId& aTarget, double aFleetBound, std::size_t aSharers, TimePoint aNow)
   {
+    if (aSharers == 0) {
+      return false;
+    }
     std::deque<TimePoint>& sent = mSent[aTarget];
     while (!sent.empty() && aNow - sent.front() >= kWindow) {
       sent.pop_front();
     }
-    const double share = kMargin * aFleetBound / static_cast<double>(std::max(aSharers, kOne));
+    const double share = kMargin * aFleetBound / static_cast<double>(aSharers);
     if (static_cast<double>(sent.size()) + 1 > share) {
       return false;
     }
@@ -42,7 +45,6 @@
   static constexpr Duration kWindow = std::chrono::milliseconds(1300);
   /// Part of the bound that is used: instances join before the others have heard of them.
   static constexpr double kMargin = 0.7;
-  static constexpr std::size_t kOne = 1;
 
   std::map<TargetId, std::deque<TimePoint>> mSent;
 };
--- a/bulrushrun/limits/tests/FleetSharesTest.cpp
+++ b/bulrushrun/limits/tests/FleetSharesTest.cpp
@@ -73,5 +73,11 @@
   EXPECT_GT(sent.size(), 20U) << "it warms up on some";
 }
 
+TEST(TheBoundOnAColdTarget, GivesNothingToAnInstanceThatDoesNotKnowTheOthers)
+{
+  ColdAdmission share;
+  EXPECT_FALSE(share.admit(TargetId{ "t" }, 100, 0, TimePoint{ std::chrono::seconds(50) }));
+}
+
 } // namespace
 } // namespace bulrushrun
--- a/bulrushrun/steering/InstanceFleet.h
+++ b/bulrushrun/steering/InstanceFleet.h
@@ -53,21 +53,22 @@
 template<class HostType, class Adapter>
 void SteeringInstance<HostType, Adapter>::registerSelf()
 {
-  exchangeWhole(
-    mHost,
-    mSettings.mStore,
-    Rows::writeRow(Adapter::kInstanceTable, mSettings.mInstance.text(), mSettings.mPeer.text()),
-    kWriteLimit,
-    kMaxAnswerBytes,
-    [this](ExchangeEnd aEnd, const HttpResponse& aResponse) {
-      const std::optional<RecordVersion> version =
-        aEnd == ExchangeEnd::Whole ? Rows::parseWritten(aResponse) : std::nullopt;
-      if (version) {
-        onRegistered(*version);
-      } else {
-        mHost.after(kWritePause, [this] { registerSelf(); });
-      }
-    });
+  exchangeWhole(mHost,
+                mSettings.mStore,
+                Rows::writeRow(Adapter::kInstanceTable,
+                               mSettings.mInstance.text(),
+                               mSettings.mPeer.text() + " " + mSettings.mZone.text()),
+                kWriteLimit,
+                kMaxAnswerBytes,
+                [this](ExchangeEnd aEnd, const HttpResponse& aResponse) {
+                  const std::optional<RecordVersion> version =
+                    aEnd == ExchangeEnd::Whole ? Rows::parseWritten(aResponse) : std::nullopt;
+                  if (version) {
+                    onRegistered(*version);
+                  } else {
+                    mHost.after(kWritePause, [this] { registerSelf(); });
+                  }
+                });
 }
 
 template<class HostType, class Adapter>
@@ -83,24 +84,47 @@
   mGossip = std::make_unique<Gossip<HostType>>(
     mHost, std::move(self), mSettings.mSeeds, mSettings.mPeerKeys, gossipListener());
   joinPeers();
+  readInstances();
+}
+
+template<class HostType, class Adapter>
+void SteeringInstance<HostType, Adapter>::readInstances()
+{
   exchangeWhole(mHost,
                 mSettings.mStore,
                 Rows::readRows(Adapter::kInstanceTable, ""),
                 kWriteLimit,
                 kMaxAnswerBytes,
                 [this](ExchangeEnd aEnd, const HttpResponse& aResponse) {
-                  if (aEnd != ExchangeEnd::Whole) {
-                    return;
-                  }
-                  for (const StoreRow& row : Rows::parseRows(aResponse).mBatch.mRows) {
-                    const std::optional<Endpoint> peer = parseEndpoint(row.mValue);
-                    if (peer && *peer != mSettings.mPeer) {
-                      mGossip->contact(*peer);
-                    }
+                  const RowReadResult result =
+                    aEnd == ExchangeEnd::Whole ? Rows::parseRows(aResponse) : RowReadResult{};
+                  if (result.mStatus == RowReadStatus::Ok) {
+                    onInstances(result.mBatch.mRows);
+                  } else {
+                    mHost.after(kWritePause, [this] { readInstances(); });
                   }
                 });
 }
 
+/// Finds the peers, and learns with how many instances of its zone this one shares bounds before
+/// gossip tells it. Rows of instances that are gone only make its share smaller for a while.
+template<class HostType, class Adapter>
+void SteeringInstance<HostType, Adapter>::onInstances(const Table& aRows)
+{
+  std::size_t inZone = 0;
+  for (const StoreRow& row : aRows) {
+    const std::size_t space = std::min(row.mValue.find(' '), row.mValue.size());
+    const std::optional<Endpoint> peer = parseEndpoint(row.mValue.substr(0, space));
+    inZone += row.mValue.substr(space) == " " + mSettings.mZone.text() ? 1 : 0;
+    if (peer && *peer != mSettings.mPeer) {
+      mGossip->contact(*peer);
+    }
+  }
+  mRegisteredInZone = inZone;
+  mRegisteredAt = mHost.now();
+  updateFleet();
+}
+
 /// Peers name this instance to callers as soon as they know it, so it joins them when it is ready.
 template<class HostType, class Adapter>
 void SteeringInstance<HostType, Adapter>::joinPeers()
@@ -172,7 +196,11 @@
   }
   // Members that are taken for dead may only be cut off, and still send.
   mView.mInstances = std::max<std::size_t>(members.size(), 1);
-  mView.mContext.mZoneInstances = std::max<std::size_t>(inZone, 1);
+  const bool recent = mHost.now() - mRegisteredAt < kGossipSpan;
+  mView.mContext.mZoneInstances = recent ? std::max(inZone, mRegisteredInZone) : inZone;
+  if (mRegisteredAt == TimePoint{}) {
+    mView.mContext.mZoneInstances = 0;
+  }
   mRoles = assignNewsRoles(members, mSettings.mRegions, mSettings.mZone);
 }
 
--- a/bulrushrun/steering/InstanceTables.h
+++ b/bulrushrun/steering/InstanceTables.h
@@ -82,28 +82,25 @@
     std::string("table=") + (aTable == NewsTable::Operator ? "operator" : "targets");
   TableListener listener;
   listener.mOnSnapshot = [this, aTable, index](const Table& aRows, RecordVersion aVersion) {
-    setCurrent(aTable, aVersion, mHost.now());
+    setCurrent(aTable, mHost.now());
     onNews(aTable, mCopies[index].applySnapshot(aRows, aVersion));
   };
   listener.mOnChanges = [this, aTable, index](const Table& aRows) {
-    setCurrent(aTable, mFollowers[index].version(), mHost.now());
-    onNews(aTable, mCopies[index].apply(aRows));
+    setCurrent(aTable, mHost.now());
+    onNews(aTable, mCopies[index].apply(aRows, mFollowers[index].version()));
   };
   listener.mOnAvailability = [this, index, name](bool aAvailable, const std::string& aReason) {
     mHost.log(aAvailable ? events::kFeedRegained : events::kFeedLost,
-              name + " version=" + std::to_string(mComplete[index].value()) +
+              name + " version=" + std::to_string(mCopies[index].complete().value()) +
                 (aAvailable ? "" : " reason=\"" + aReason + "\""));
   };
   return listener;
 }
 
 template<class HostType, class Adapter>
-void SteeringInstance<HostType, Adapter>::setCurrent(NewsTable aTable,
-                                                     RecordVersion aComplete,
-                                                     TimePoint aWhen)
+void SteeringInstance<HostType, Adapter>::setCurrent(NewsTable aTable, TimePoint aWhen)
 {
   const std::size_t index = static_cast<std::size_t>(aTable);
-  mComplete[index] = std::max(mComplete[index], aComplete);
   if (mCurrentAt[index] == TimePoint{} && aTable == NewsTable::Targets) {
     mView.mContext.mStarted = mHost.now();
   }
@@ -130,7 +127,7 @@
   PeerNewsQuestion own;
   const TimePoint now = mHost.now();
   for (std::size_t i = 0; i < kNewsTables; ++i) {
-    own.mProgress[i] = { mComplete[i], mCopies[i].newest() };
+    own.mProgress[i] = { mCopies[i].complete(), mCopies[i].newest() };
     own.mAge = std::max(own.mAge, now - mCurrentAt[i]);
   }
   return own;
@@ -158,10 +155,10 @@
   for (std::size_t i = 0; i < kNewsTables; ++i) {
     const NewsTable table = static_cast<NewsTable>(i);
     if (aNews.mProgress[i].mComplete > RecordVersion{}) {
-      setCurrent(table, aNews.mProgress[i].mComplete, currentAt);
+      setCurrent(table, currentAt);
     }
     mFollowers[i].skipTo(aNews.mProgress[i].mComplete);
-    onNews(table, mCopies[i].apply(aNews.mRows[i]));
+    onNews(table, mCopies[i].apply(aNews.mRows[i], aNews.mProgress[i].mComplete));
   }
 }
 
--- a/bulrushrun/steering/SteeringInstance.h
+++ b/bulrushrun/steering/SteeringInstance.h
@@ -85,6 +85,8 @@
   static constexpr Duration kExitMargin = std::chrono::milliseconds(300);
   /// Part of the grace after which no more requests are taken: the rest is for those in progress.
   static constexpr double kTakingShare = 0.5;
+  /// Time after which gossip knows all instances that are running.
+  static constexpr Duration kGossipSpan = std::chrono::seconds(10);
   static constexpr Duration kWriteLimit = std::chrono::milliseconds(1500);
   static constexpr Duration kWritePause = std::chrono::milliseconds(400);
   static constexpr std::size_t kMaxAnswerBytes = std::size_t{ 1024 } * 1024;
@@ -106,7 +108,7 @@
   // The store's tables.
   TableListener tableListener(NewsTable aTable);
   void onNews(NewsTable aTable, const Table& aNews);
-  void setCurrent(NewsTable aTable, RecordVersion aComplete, TimePoint aWhen);
+  void setCurrent(NewsTable aTable, TimePoint aWhen);
   void chooseSource();
   void onOperatorRow(const StoreRow& aRow);
   void onPlanText(const std::string& aText);
@@ -121,6 +123,8 @@
   // The other instances.
   void registerSelf();
   void onRegistered(RecordVersion aVersion);
+  void readInstances();
+  void onInstances(const Table& aRows);
   void joinPeers();
   void updateFleet();
   std::vector<Endpoint> instancesFor(const LookupQuery& aQuery) const;
@@ -136,13 +140,15 @@
   RequestCarrier<HostType, Adapter> mCarrier;
   std::array<Follower, kNewsTables> mFollowers;
   std::array<TableCopy, kNewsTables> mCopies;
-  /// How far each table is known, and when that was current at the store.
-  std::array<RecordVersion, kNewsTables> mComplete;
+  /// When the copy of each table was current at the store.
   std::array<TimePoint, kNewsTables> mCurrentAt;
   NewsExchange<HostType> mNews;
   DrainSequence<HostType> mDrain;
   std::unique_ptr<Gossip<HostType>> mGossip;
   NewsRoles mRoles;
+  /// Instances of this zone that the store named after the start, and when; none before.
+  std::size_t mRegisteredInZone = 0;
+  TimePoint mRegisteredAt;
   std::set<std::string> mReportedEntries;
   std::function<void(const CallerLimits&)> mOnLimits;
   std::function<void()> mOnClosed;
--- a/bulrushrun/steering/TargetPicker.h
+++ b/bulrushrun/steering/TargetPicker.h
@@ -47,8 +47,8 @@
   double mColdBound = 0;
   /// Time after the first sight of a target for which it is taken for cold.
   Duration mColdSpan{ 0 };
-  /// Instances of this zone.
-  std::size_t mZoneInstances = 1;
+  /// Instances of this zone; zero while unknown, then cold targets get nothing from this one.
+  std::size_t mZoneInstances = 0;
   /// Targets first seen before this moment were there at the start, and are not cold for it.
   TimePoint mStarted;
 };
--- a/bulrushrun/steering/tests/SteeringInstanceTest.cpp
+++ b/bulrushrun/steering/tests/SteeringInstanceTest.cpp
@@ -143,6 +143,27 @@
   EXPECT_LE(sent, 2U);
 }
 
+/// All instances of a zone come back together with its targets, which are cold.
+TEST_F(AColdTarget, GetsNoMoreThanItsBoundFromInstancesThatHaveJustStarted)
+{
+  mWorld.mStore.remove("servers", "t1");
+  for (const std::string name : { "m1", "m2", "m3", "m4", "m5", "m6" }) {
+    mWorld.add(name, "za");
+    mWorld.mStore.put("bulrushrun-instances", name, "10.0.1.1:8005 za");
+  }
+  mWorld.putTarget("t9", "ready", 50, 3000);
+  for (const char* name : { "m1", "m2", "m3", "m4", "m5", "m6" }) {
+    mWorld.node(name).start();
+  }
+  mWorld.run(std::chrono::milliseconds(30));
+  for (int i = 0; i < 10; ++i) {
+    for (const std::string name : { "m1", "m2", "m3", "m4", "m5", "m6" }) {
+      mWorld.call(name, name + std::to_string(i));
+    }
+  }
+  EXPECT_LE(mWorld.atTargets().size(), 2U);
+}
+
 class APlannedStop : public AFleet
 {};
 
--- a/bulrushrun/store/TableCopy.cpp
+++ b/bulrushrun/store/TableCopy.cpp
@@ -7,6 +7,9 @@
 
 bool TableCopy::take(const StoreRow& aRow)
 {
+  if (aRow.mVersion <= mComplete && !mRows.contains(aRow.mKey)) {
+    return false;
+  }
   const auto [row, added] = mRows.try_emplace(aRow.mKey, aRow);
   if (!added && aRow.mVersion <= row->second.mVersion) {
     return false;
@@ -16,7 +19,7 @@
   return true;
 }
 
-std::vector<StoreRow> TableCopy::apply(const std::vector<StoreRow>& aRows)
+std::vector<StoreRow> TableCopy::apply(const std::vector<StoreRow>& aRows, RecordVersion aComplete)
 {
   std::vector<StoreRow> news;
   for (const StoreRow& row : aRows) {
@@ -24,13 +27,14 @@
       news.push_back(row);
     }
   }
+  mComplete = std::max(mComplete, aComplete);
   return news;
 }
 
 std::vector<StoreRow> TableCopy::applySnapshot(const std::vector<StoreRow>& aRows,
                                                RecordVersion aVersion)
 {
-  std::vector<StoreRow> news = apply(aRows);
+  std::vector<StoreRow> news = apply(aRows, aVersion);
   std::set<std::string> listed;
   for (const StoreRow& row : aRows) {
     listed.insert(row.mKey);
--- a/bulrushrun/store/TableCopy.h
+++ b/bulrushrun/store/TableCopy.h
@@ -16,14 +16,19 @@
 class TableCopy
 {
 public:
-  /// \brief Takes single changes. \returns those that are news, in the order given
-  std::vector<StoreRow> apply(const std::vector<StoreRow>& aRows);
+  /// \brief Takes changes. A row that is unknown here though everything up to its version is known
+  /// was removed since, and stays so.
+  /// \param aComplete  with these rows, every change up to this version is known
+  /// \returns those that are news, in the order given
+  std::vector<StoreRow> apply(const std::vector<StoreRow>& aRows, RecordVersion aComplete);
   /// \brief Takes the whole table as of a version: what is missing there was removed.
   /// \returns what is news
   std::vector<StoreRow> applySnapshot(const std::vector<StoreRow>& aRows, RecordVersion aVersion);
 
   /// \brief \returns the rows that changed behind a version, in order of their versions.
   std::vector<StoreRow> changesSince(RecordVersion aVersion) const;
+  /// \brief \returns the version up to which every change is known.
+  RecordVersion complete() const { return mComplete; }
   /// \brief \returns the newest version of any row.
   RecordVersion newest() const { return mNewest; }
 
@@ -31,6 +36,7 @@
   bool take(const StoreRow& aRow);
 
   std::map<std::string, StoreRow> mRows;
+  RecordVersion mComplete;
   RecordVersion mNewest;
 };
 
--- a/bulrushrun/store/tests/TableCopyTest.cpp
+++ b/bulrushrun/store/tests/TableCopyTest.cpp
@@ -19,23 +19,23 @@
 
 TEST_F(ACopyOfATable, TakesEachChangeOnce)
 {
-  EXPECT_EQ(mCopy.apply({ row("a", 3) }).size(), 1U);
-  EXPECT_TRUE(mCopy.apply({ row("a", 3) }).empty());
-  EXPECT_TRUE(mCopy.apply({ row("a", 2, "older") }).empty());
+  EXPECT_EQ(mCopy.apply({ row("a", 3) }, {}).size(), 1U);
+  EXPECT_TRUE(mCopy.apply({ row("a", 3) }, {}).empty());
+  EXPECT_TRUE(mCopy.apply({ row("a", 2, "older") }, {}).empty());
   EXPECT_EQ(mCopy.changesSince(RecordVersion{ 0 }).front().mValue, "v");
 }
 
 TEST_F(ACopyOfATable, KeepsARemovedRowRemovedWhenAnOlderReportArrives)
 {
-  mCopy.apply({ row("a", 3) });
-  mCopy.apply({ { "a", "", RecordVersion{ 5 }, true } });
-  EXPECT_TRUE(mCopy.apply({ row("a", 4) }).empty());
+  mCopy.apply({ row("a", 3) }, {});
+  mCopy.apply({ { "a", "", RecordVersion{ 5 }, true } }, {});
+  EXPECT_TRUE(mCopy.apply({ row("a", 4) }, {}).empty());
   EXPECT_TRUE(mCopy.changesSince(RecordVersion{ 0 }).front().mRemoved);
 }
 
 TEST_F(ACopyOfATable, LearnsFromASnapshotWhatWasRemoved)
 {
-  mCopy.apply({ row("a", 3), row("b", 4), row("c", 9) });
+  mCopy.apply({ row("a", 3), row("b", 4), row("c", 9) }, {});
   const std::vector<StoreRow> news = mCopy.applySnapshot({ row("a", 3) }, RecordVersion{ 7 });
   ASSERT_EQ(news.size(), 1U) << "c is newer than the snapshot";
   EXPECT_EQ(news.front().mKey, "b");
@@ -43,9 +43,17 @@
   EXPECT_EQ(mCopy.newest(), RecordVersion{ 9 });
 }
 
+TEST_F(ACopyOfATable, DoesNotTakeUpARowThatWasRemovedBeforeItsSnapshot)
+{
+  mCopy.applySnapshot({ row("a", 3) }, RecordVersion{ 9 });
+  EXPECT_TRUE(mCopy.apply({ row("gone", 2) }, RecordVersion{ 1 }).empty());
+  EXPECT_EQ(mCopy.apply({ row("new", 10) }, RecordVersion{ 10 }).size(), 1U);
+  EXPECT_EQ(mCopy.complete(), RecordVersion{ 10 });
+}
+
 TEST_F(ACopyOfATable, TellsChangesInTheOrderOfTheirVersions)
 {
-  mCopy.apply({ row("a", 8), row("b", 4), row("c", 6) });
+  mCopy.apply({ row("a", 8), row("b", 4), row("c", 6) }, {});
   const std::vector<StoreRow> changes = mCopy.changesSince(RecordVersion{ 4 });
   ASSERT_EQ(changes.size(), 2U);
   EXPECT_EQ(changes[0].mKey, "c");
