--- a/bench/fleet.sh
+++ b/bench/fleet.sh
@@ -42,7 +42,7 @@
 operator_token: $BULRUSHRUN_TOKEN
 log_level: info
 YAML
-  $build/bulrushrund --settings="$run/$n.yaml" 2> "$run/$n.log" & pids+=($!); echo $! >> "$run/pids"
+  $build/bulrushrund --settings="$run/$n.yaml" > "$run/$n.log" 2>&1 & pids+=($!); echo $! >> "$run/pids"
 done
 control() { $build/bulrushctl --address=127.0.5.1:8081 --author=fleet --reason=measure "$@"; }
 for _ in $(seq 100); do control status > /dev/null 2>&1 && break; sleep 0.1; done
--- a/bulrushrun/metrics.h
+++ b/bulrushrun/metrics.h
@@ -7,3 +7,5 @@
 #include "bulrushrun/metrics/LatencyHistogram.h"
 // All series of one instance.
 #include "bulrushrun/metrics/Metrics.h"
+// By route and service.
+#include "bulrushrun/metrics/ServiceMetrics.h"
--- a/bulrushrun/net/EventLogger.h
+++ b/bulrushrun/net/EventLogger.h
@@ -6,7 +6,9 @@
 
 namespace bulrushrun {
 
-/// \brief Sets up log4cxx: one line per event on standard error.
+/// \brief Sets up log4cxx: one line per event on standard output, never waiting for its
+/// reader and at a bounded rate.
+/// \sa BoundedLogSink
 ///
 /// \param aInstance  the name that stands in each line
 /// \param aLevel  debug, info, warn or error
--- /dev/null
+++ b/bulrushrun/net/tests/BoundedLogSinkTest.cpp
@@ -0,0 +1,66 @@
+#include "bulrushrun/net/BoundedLogSink.h"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <array>
+
+namespace bulrushrun {
+namespace {
+
+/// Story: the log goes into a pipe whose reader may stop.
+class ALogInAPipe : public ::testing::Test
+{
+protected:
+  ALogInAPipe() { EXPECT_EQ(::pipe(mEnds.data()), 0); }
+  ~ALogInAPipe() override
+  {
+    ::close(mEnds[0]);
+    ::close(mEnds[1]);
+  }
+  std::string read() const
+  {
+    std::string text(1 << 20, '\0');
+    text.resize(
+      static_cast<std::size_t>(std::max<ssize_t>(::read(mEnds[0], text.data(), text.size()), 0)));
+    return text;
+  }
+
+  std::array<int, 2> mEnds{};
+  TimePoint mNow{ std::chrono::seconds(100) };
+};
+
+TEST_F(ALogInAPipe, DoesNotWaitForAReaderThatStopped)
+{
+  BoundedLogSink sink{ mEnds[1] };
+  for (int i = 0; i < 2000; ++i) {
+    mNow += std::chrono::milliseconds(100);
+    sink.write(std::string(200, 'x') + "\n", mNow);
+  }
+  EXPECT_GT(sink.leftOut(), 0U);
+  const std::uint64_t left = sink.leftOut();
+  read();
+  sink.write("again\n", mNow);
+  EXPECT_EQ(read(), "lines left out=" + std::to_string(left) + "\nagain\n");
+}
+
+TEST_F(ALogInAPipe, IsBoundedInLinesASecond)
+{
+  BoundedLogSink sink{ mEnds[1] };
+  for (int i = 0; i < 5000; ++i) {
+    sink.write("x\n", mNow);
+  }
+  EXPECT_EQ(sink.leftOut(), 5000U - static_cast<std::uint64_t>(BoundedLogSink::kLinesPerSecond));
+}
+
+TEST_F(ALogInAPipe, CutsALineThatIsTooLong)
+{
+  BoundedLogSink sink{ mEnds[1] };
+  sink.write(std::string(100'000, 'x') + "\n", mNow);
+  const std::string text = read();
+  EXPECT_EQ(text.size(), 4096U);
+  EXPECT_EQ(text.back(), '\n');
+}
+
+} // namespace
+} // namespace bulrushrun
--- /dev/null
+++ b/bulrushrun/net/tests/EventLoggerTest.cpp
@@ -0,0 +1,23 @@
+#include "bulrushrun/net.h"
+
+#include <gtest/gtest.h>
+
+namespace bulrushrun {
+namespace {
+
+/// Story: events go to standard output, one line each.
+TEST(TheEventLog, WritesNumberNameAndFieldsToStandardOutput)
+{
+  testing::internal::CaptureStdout();
+  startLogging("node-7", "info");
+  writeEvent(events::kInstanceStarted, "listen=10.0.0.1:80");
+  writeEvent(events::kMessageDropped, "below the level");
+  const std::string text = testing::internal::GetCapturedStdout();
+  EXPECT_NE(text.find(" INFO  node-7 BR-1001 instance-started listen=10.0.0.1:80\n"),
+            std::string::npos)
+    << text;
+  EXPECT_EQ(text.find("below"), std::string::npos);
+}
+
+} // namespace
+} // namespace bulrushrun
--- /dev/null
+++ b/bulrushrun/net/tests/RawPeer.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "bulrushrun/net.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+#include <thread>
+#include <utility>
+
+namespace bulrushrun {
+
+/// Address that no other process of the tests uses at the same time.
+inline Endpoint ownEndpoint(std::uint32_t aLast)
+{
+  const std::uint32_t process = static_cast<std::uint32_t>(::getpid()) & 0xffffU;
+  return { 0x7f000000U | (process << 8U) | aLast, 18080 };
+}
+
+inline const Endpoint kServer = ownEndpoint(1);
+inline const Endpoint kPeer = ownEndpoint(2);
+inline const Endpoint kNobody = ownEndpoint(3);
+
+/// Server of raw bytes: sends the same bytes to each connection and closes it.
+class RawPeer
+{
+public:
+  explicit RawPeer(std::string aBytes)
+    : mBytes(std::move(aBytes))
+    , mListener(openListener(kPeer))
+    , mThread([this] { serve(); })
+  {
+  }
+  RawPeer(const RawPeer&) = delete;
+  RawPeer& operator=(const RawPeer&) = delete;
+  ~RawPeer()
+  {
+    mThread.join();
+    ::close(mListener);
+  }
+
+private:
+  void serve()
+  {
+    int connection = -1;
+    while ((connection = ::accept(mListener, nullptr, nullptr)) < 0) {
+      std::this_thread::yield();
+    }
+    char request[4096];
+    (void)::recv(connection, request, sizeof(request), 0);
+    (void)::send(connection, mBytes.data(), mBytes.size(), MSG_NOSIGNAL);
+    ::close(connection);
+  }
+
+  std::string mBytes;
+  int mListener;
+  std::thread mThread;
+};
+
+} // namespace bulrushrun
--- a/bulrushrun/routing/RoutePlan.cpp
+++ b/bulrushrun/routing/RoutePlan.cpp
@@ -46,11 +46,11 @@
 {
   assert(!aServices.empty() && "a split has at least one part");
   double total = 0;
-  const WeightedService* chosen = nullptr;
+  const WeightedService* chosen = &aServices.front();
   for (const WeightedService& part : aServices) {
     total += part.mWeight;
     mCredit[part.mService] += part.mWeight;
-    if (chosen == nullptr || mCredit[part.mService] > mCredit[chosen->mService]) {
+    if (mCredit[part.mService] > mCredit[chosen->mService]) {
       chosen = &part;
     }
   }
--- /dev/null
+++ b/bulrushrun/steering/CarrierActions.h
@@ -0,0 +1,199 @@
+#pragma once
+
+#include "bulrushrun/steering/RequestCarrier.h"
+
+#include <cstdio>
+
+/// \file
+/// \brief RequestCarrier: the actions of the request machine, up to the last word to the caller.
+
+namespace bulrushrun {
+
+template<class HostType, class Wire>
+void RequestCarrier<HostType, Wire>::apply(RequestId aId, RequestEvent aEvent)
+{
+  Request* request = find(aId);
+  if (request != nullptr) {
+    act(*request, request->mMachine.apply(aEvent));
+  }
+}
+
+template<class HostType, class Wire>
+void RequestCarrier<HostType, Wire>::act(Request& aRequest, RequestAction aAction)
+{
+  switch (aAction) {
+    case RequestAction::Enqueue:
+      dispatch(aRequest);
+      break;
+    case RequestAction::Retry:
+      repeat(aRequest);
+      break;
+    case RequestAction::StreamAnswer:
+      break;
+    case RequestAction::EndAnswer:
+      aRequest.mResponder->finish();
+      ++mCounters.mAnswered;
+      finish(aRequest, "answered", aRequest.mSend->mHead->mStatus);
+      break;
+    case RequestAction::AbortAnswer:
+      aRequest.mResponder->abort();
+      ++mCounters.mFailed;
+      finish(aRequest, "broken-off", 0);
+      break;
+    case RequestAction::SayNotRun:
+      sayNotRun(aRequest);
+      break;
+    case RequestAction::SayUnknown:
+    case RequestAction::SayFailed:
+      sayFailed(aRequest);
+      break;
+    case RequestAction::Drop:
+      finish(aRequest, "dropped", 0);
+      break;
+    default:
+      break;
+  }
+}
+
+template<class HostType, class Wire>
+PickQuery RequestCarrier<HostType, Wire>::queryFor(const Request& aRequest) const
+{
+  PickQuery query;
+  const Route& route = *aRequest.mRoute;
+  if (route.mSticky && aRequest.mFacts.mObject) {
+    query.mAffinity = Affinity::Object;
+    query.mObject =
+      combineHashes(hashText(aRequest.mService.text()), hashText(*aRequest.mFacts.mObject));
+  }
+  query.mLargeAnswer = route.mLargeAnswers;
+  query.mTried = aRequest.mTried;
+  query.mHomeRegions = route.mHomeRegions;
+  return query;
+}
+
+template<class HostType, class Wire>
+PickContext RequestCarrier<HostType, Wire>::contextFor(const Request& aRequest) const
+{
+  PickContext context = mView.mContext;
+  const ServiceTerms* terms = aRequest.mPlan->terms(aRequest.mService);
+  if (terms != nullptr) {
+    context.mColdBound = terms->mColdPerSecond * mView.mColdFactor + mView.mColdSlack;
+    context.mColdSpan = terms->mColdSpan;
+  }
+  return context;
+}
+
+template<class HostType, class Wire>
+void RequestCarrier<HostType, Wire>::dispatch(Request& aRequest)
+{
+  const TimePoint now = mHost.now();
+  const Pick pick = mPicker.pick(
+    queryFor(aRequest), mView.mTargets.usable(aRequest.mService, now), contextFor(aRequest), now);
+  if (pick.mTarget == nullptr) {
+    if (aRequest.mReason.empty()) {
+      aRequest.mReason =
+        pick.mFailure == PickFailure::AllBusy ? "all targets are busy" : "no usable target";
+    }
+    aRequest.mReason += " usable=" + std::to_string(pick.mUsable);
+    apply(aRequest.mId, RequestEvent::Refused);
+    return;
+  }
+  send(aRequest, pick);
+}
+
+template<class HostType, class Wire>
+bool RequestCarrier<HostType, Wire>::mayRepeat(const Request& aRequest)
+{
+  const TimePoint now = mHost.now();
+  const double usual = static_cast<double>(usualLatency(aRequest.mService).count());
+  const Duration least{ static_cast<std::int64_t>(kLeastRepeatShare * usual) };
+  if (aRequest.mLimit - now <= least || aRequest.mUnreached > kMaxUnreached) {
+    return false;
+  }
+  if (aRequest.mSends == 0) {
+    return true;
+  }
+  return aRequest.mSends < aRequest.mRoute->mMaxAttempts &&
+         mRetries[aRequest.mService].spend(mView.mRetryBound, mView.mInstances, now);
+}
+
+template<class HostType, class Wire>
+void RequestCarrier<HostType, Wire>::repeat(Request& aRequest)
+{
+  if (!mayRepeat(aRequest)) {
+    aRequest.mReason += "; no further attempt";
+    apply(aRequest.mId, RequestEvent::Refused);
+    return;
+  }
+  mCounters.mRepeats += aRequest.mSends > 0 ? 1 : 0;
+  dispatch(aRequest);
+}
+
+template<class HostType, class Wire>
+Duration RequestCarrier<HostType, Wire>::usualLatency(const ServiceName& aService) const
+{
+  const auto found = mLatencies.find(aService);
+  return found == mLatencies.end() ? Duration{ 0 } : found->second;
+}
+
+template<class HostType, class Wire>
+std::string RequestCarrier<HostType, Wire>::retryAfter(const Request& aRequest)
+{
+  const Duration usual = std::max(usualLatency(aRequest.mService), kMinRetryAfter);
+  const double spread = 0.5 + mHost.random().unit();
+  const Duration span = std::min(fromSeconds(toSeconds(usual) * spread), kMaxRetryAfter);
+  std::array<char, 16> text{};
+  std::snprintf(text.data(), text.size(), "%.3f", toSeconds(span));
+  return text.data();
+}
+
+template<class HostType, class Wire>
+void RequestCarrier<HostType, Wire>::sayNotRun(Request& aRequest)
+{
+  HttpResponse response;
+  response.mHead.mStatus = 503;
+  response.mHead.mHeaders = { { "Content-Type", "text/plain" },
+                              { "Retry-After", retryAfter(aRequest) } };
+  response.mHead.mCloseAfter = mView.mStopping;
+  response.mBody = "not run: " + aRequest.mReason + "\n";
+  respond(*aRequest.mResponder, response);
+  ++mCounters.mRefused;
+  finish(aRequest, "refused", response.mHead.mStatus);
+}
+
+template<class HostType, class Wire>
+void RequestCarrier<HostType, Wire>::sayFailed(Request& aRequest)
+{
+  constexpr int kBadGateway = 502;
+  constexpr int kGatewayTimeout = 504;
+  HttpResponse response;
+  response.mHead.mStatus = mHost.now() >= aRequest.mLimit ? kGatewayTimeout : kBadGateway;
+  response.mHead.mHeaders = { { "Content-Type", "text/plain" } };
+  response.mHead.mCloseAfter = mView.mStopping;
+  response.mBody = "may have run: " + aRequest.mReason + "\n";
+  respond(*aRequest.mResponder, response);
+  ++mCounters.mFailed;
+  finish(aRequest, "failed", response.mHead.mStatus);
+}
+
+template<class HostType, class Wire>
+void RequestCarrier<HostType, Wire>::finish(Request& aRequest, const char* aOutcome, int aStatus)
+{
+  mHost.cancelTimer(aRequest.mLimitTimer);
+  aRequest.mResponder->mOnGone = nullptr;
+  aRequest.mResponder->mOnWritable = nullptr;
+  mMetrics.onRequest(
+    aRequest.mRoute->mName, aRequest.mService, aOutcome, mHost.now() - aRequest.mArrived);
+  const std::string target = aRequest.mSend ? aRequest.mSend->mTarget.text() : "-";
+  mHost.log(events::kRequestEnded,
+            "id=" + aRequest.mFacts.mId + " route=" + aRequest.mRoute->mName +
+              " version=" + std::to_string(aRequest.mPlan->mVersion.value()) +
+              " service=" + aRequest.mService.text() + " target=" + target +
+              " sends=" + std::to_string(aRequest.mSends) + " outcome=" + aOutcome +
+              " status=" + std::to_string(aStatus) +
+              " ms=" + std::to_string(toMillis(mHost.now() - aRequest.mArrived)) +
+              (aRequest.mReason.empty() ? "" : " reason=\"" + aRequest.mReason + "\""));
+  mRequests.erase(aRequest.mId.value());
+}
+
+} // namespace bulrushrun
--- a/bulrushrun/steering/RequestCarrier.h
+++ b/bulrushrun/steering/RequestCarrier.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bulrushrun/limits/RetryShare.h"
+#include "bulrushrun/metrics/ServiceMetrics.h"
 #include "bulrushrun/steering/SteeredRequest.h"
 #include "bulrushrun/steering/TargetPicker.h"
 
@@ -70,6 +71,7 @@
   /// \brief \returns requests in progress.
   std::size_t inProgress() const { return mRequests.size(); }
   const CarrierCounters& counters() const { return mCounters; }
+  const ServiceMetrics& metrics() const { return mMetrics; }
   /// \brief Sets what runs when an answer shows that a target leaves or was replaced.
   void setOnTargetNews(std::function<void(const TargetId&, const AnswerFacts&)> aOnNews)
   {
@@ -135,12 +137,15 @@
   std::map<std::string, SplitDealer> mSplits;
   std::function<void(const TargetId&, const AnswerFacts&)> mOnTargetNews;
   CarrierCounters mCounters;
+  ServiceMetrics mMetrics;
   RequestId mLast;
 };
 
 } // namespace bulrushrun
 
-// Member functions, by duty: admission and the machine's actions.
+// Member functions, by duty: admission.
 #include "bulrushrun/steering/CarrierAdmission.h"
+// The machine's actions.
+#include "bulrushrun/steering/CarrierActions.h"
 // Exchanges with targets.
 #include "bulrushrun/steering/CarrierExchange.h"
--- a/bulrushrun/steering/SteeringInstance.h
+++ b/bulrushrun/steering/SteeringInstance.h
@@ -46,8 +46,10 @@
   void handleLookup(const HttpRequest& aRequest, const ResponderPtr& aResponder);
   /// \brief Handles the platform's question whether this instance is ready.
   void handleReadiness(const HttpRequest& aRequest, const ResponderPtr& aResponder);
-  /// \brief Handles a request for the metrics, or a peer's question for news.
-  void handleInternal(const HttpRequest& aRequest, const ResponderPtr& aResponder);
+  /// \brief Handles a peer's question for news.
+  void handleNews(const HttpRequest& aRequest, const ResponderPtr& aResponder);
+  /// \brief Handles a request for the metrics.
+  void handleMetrics(const ResponderPtr& aResponder);
   /// \brief Handles a control message of a peer.
   void handlePeer(const std::string& aBytes);
   /// \brief Takes over bounds that changed.
@@ -160,5 +162,7 @@
 
 // Member functions, by duty: the store's tables.
 #include "bulrushrun/steering/InstanceTables.h"
-// The other instances, look-ups and the planned stop.
+// The other instances.
 #include "bulrushrun/steering/InstanceFleet.h"
+// Look-ups, readiness, metrics and the planned stop.
+#include "bulrushrun/steering/InstanceService.h"
--- a/bulrushrun/steering/SteeringSettings.cpp
+++ b/bulrushrun/steering/SteeringSettings.cpp
@@ -82,6 +82,7 @@
                "lookup",
                "readiness",
                "metrics",
+               "news",
                "peer",
                "store",
                "seeds",
@@ -97,6 +98,7 @@
   settings.mLookup = map->endpoint("lookup");
   settings.mReadiness = map->endpoint("readiness");
   settings.mMetrics = map->endpoint("metrics");
+  settings.mNews = map->endpoint("news");
   settings.mPeer = map->endpoint("peer");
   settings.mStore = map->endpoint("store");
   readSeeds(*map, settings);
--- a/bulrushrun/steering/SteeringSettings.h
+++ b/bulrushrun/steering/SteeringSettings.h
@@ -31,11 +31,15 @@
   InstanceId mInstance;
   ZoneName mZone;
   std::map<ZoneName, RegionName> mRegions;
-  /// For callers' requests, for their look-ups, for readiness checks, for metrics, for peers.
+  /// For callers' requests.
   Endpoint mListen;
+  /// For callers' look-ups.
   Endpoint mLookup;
   Endpoint mReadiness;
   Endpoint mMetrics;
+  /// For news between instances, over HTTP; the same port on every instance.
+  Endpoint mNews;
+  /// For gossip.
   Endpoint mPeer;
   Endpoint mStore;
   std::vector<Endpoint> mSeeds;
--- a/bulrushrun/steering/tests/SteeringSettingsTest.cpp
+++ b/bulrushrun/steering/tests/SteeringSettingsTest.cpp
@@ -13,6 +13,7 @@
 lookup: 10.0.0.1:8002
 readiness: 10.0.0.1:8003
 metrics: 10.0.0.1:8004
+news: 10.0.0.1:8006
 peer: 10.0.0.1:8005
 store: 10.0.0.9:8642
 seeds: [ "10.0.0.2:8005" ]
@@ -35,8 +36,9 @@
 TEST(ReadingSteeringSettings, ReportsEverythingThatIsWrongWithItsPlace)
 {
   Findings findings;
-  const std::string bad = "instance: node-1\nzone: zone-c\nregions: { zone-a: r }\nlisten: nowhere\n"
-                          "surprise: 1\n";
+  const std::string bad =
+    "instance: node-1\nzone: zone-c\nregions: { zone-a: r }\nlisten: nowhere\n"
+    "surprise: 1\n";
   EXPECT_FALSE(readSteeringSettings(bad, "s.yaml", findings));
   const std::string report = findings.report();
   EXPECT_NE(report.find("zone-c"), std::string::npos) << report;
--- a/bulrushrun/steering/tests/SteeringWorld.cpp
+++ b/bulrushrun/steering/tests/SteeringWorld.cpp
@@ -6,7 +6,7 @@
 
 constexpr Endpoint kStoreEndpoint{ 0x0a090909, 8642 };
 constexpr std::uint16_t kCallerPort = 8001;
-constexpr std::uint16_t kInternalPort = 8004;
+constexpr std::uint16_t kNewsPort = 8004;
 constexpr std::uint16_t kPeerPort = 8005;
 constexpr std::uint16_t kTargetPort = 9000;
 
@@ -63,7 +63,7 @@
   settings.mRegions = { { ZoneName{ "za" }, RegionName{ "ra" } },
                         { ZoneName{ "zb" }, RegionName{ "rb" } } };
   settings.mListen = { address, kCallerPort };
-  settings.mMetrics = { address, kInternalPort };
+  settings.mNews = { address, kNewsPort };
   settings.mPeer = { address, kPeerPort };
   settings.mStore = kStoreEndpoint;
   settings.mSeeds = { { 0x0a000001, kPeerPort } };
@@ -160,7 +160,7 @@
   responder->mOnEnd = [this, raw, aExchange](bool) {
     finish(aExchange, { raw->mHead, raw->mBody });
   };
-  aPlace.mNode->handleInternal(mExchanges.at(aExchange.value()).mRequest, responder);
+  aPlace.mNode->handleNews(mExchanges.at(aExchange.value()).mRequest, responder);
 }
 
 void World::finish(ExchangeId aExchange, const HttpResponse& aResponse)
--- a/daemon/platform_main.cpp
+++ b/daemon/platform_main.cpp
@@ -119,10 +119,13 @@
     serve(aSettings.mReadiness, [&](const HttpRequest& aRequest, const auto& aResponder) {
       node->handleReadiness(aRequest, aResponder);
     });
-  const std::unique_ptr<HttpServer> metrics =
-    serve(aSettings.mMetrics, [&](const HttpRequest& aRequest, const auto& aResponder) {
-      node->handleInternal(aRequest, aResponder);
+  const std::unique_ptr<HttpServer> news =
+    serve(aSettings.mNews, [&](const HttpRequest& aRequest, const auto& aResponder) {
+      node->handleNews(aRequest, aResponder);
     });
+  const std::unique_ptr<HttpServer> metrics =
+    serve(aSettings.mMetrics,
+          [&](const HttpRequest&, const auto& aResponder) { node->handleMetrics(aResponder); });
   const std::size_t bodyCap = aSettings.mMemoryMegabytes * 1024 * 1024 / kBodyMemoryShare;
   node->setOnLimits([&](const CallerLimits& aLimits) {
     const std::size_t body = aLimits.mBodyBytes == 0 ? bodyCap : aLimits.mBodyBytes;
