--- a/bulrushrun/steering/InstanceFleet.h
+++ b/bulrushrun/steering/InstanceFleet.h
@@ -20,21 +20,22 @@
 template<class HostType, class Adapter>
 void SteeringInstance<HostType, Adapter>::registerSelf()
 {
-  exchangeWhole(
-    mHost,
-    mSettings.mStore,
-    Rows::writeRow(Adapter::kInstanceTable, mSettings.mInstance.text(), mSettings.mPeer.text()),
-    kWriteLimit,
-    kMaxAnswerBytes,
-    [this](ExchangeEnd aEnd, const HttpResponse& aResponse) {
-      const std::optional<RecordVersion> version =
-        aEnd == ExchangeEnd::Whole ? Rows::parseWritten(aResponse) : std::nullopt;
-      if (version) {
-        onRegistered(*version);
-      } else {
-        mHost.after(kWritePause, [this] { registerSelf(); });
-      }
-    });
+  exchangeWhole(mHost,
+                mSettings.mStore,
+                Rows::writeRow(Adapter::kInstanceTable,
+                               mSettings.mInstance.text(),
+                               mSettings.mPeer.text() + " " + mSettings.mZone.text()),
+                kWriteLimit,
+                kMaxAnswerBytes,
+                [this](ExchangeEnd aEnd, const HttpResponse& aResponse) {
+                  const std::optional<RecordVersion> version =
+                    aEnd == ExchangeEnd::Whole ? Rows::parseWritten(aResponse) : std::nullopt;
+                  if (version) {
+                    onRegistered(*version);
+                  } else {
+                    mHost.after(kWritePause, [this] { registerSelf(); });
+                  }
+                });
 }
 
 template<class HostType, class Adapter>
@@ -72,18 +73,22 @@
                 });
 }
 
-/// Finds the peers, and learns with whom this instance shares bounds before gossip tells it. Rows
-/// of instances that are gone only make its share smaller.
+/// Finds the peers, and learns with how many instances of its zone this one shares bounds before
+/// gossip tells it. Rows of instances that are gone only make its share smaller for a while.
 template<class HostType, class Adapter>
 void SteeringInstance<HostType, Adapter>::onInstances(const Table& aRows)
 {
+  std::size_t inZone = 0;
   for (const StoreRow& row : aRows) {
-    mRegistered.insert(InstanceId{ row.mKey });
-    const std::optional<Endpoint> peer = parseEndpoint(row.mValue);
+    const std::size_t space = std::min(row.mValue.find(' '), row.mValue.size());
+    const std::optional<Endpoint> peer = parseEndpoint(row.mValue.substr(0, space));
+    inZone += row.mValue.substr(space) == " " + mSettings.mZone.text() ? 1 : 0;
     if (peer && *peer != mSettings.mPeer) {
       mGossip->contact(*peer);
     }
   }
+  mRegisteredInZone = inZone;
+  mRegisteredAt = mHost.now();
   updateFleet();
 }
 
@@ -151,20 +156,18 @@
 template<class HostType, class Adapter>
 void SteeringInstance<HostType, Adapter>::updateFleet()
 {
+  std::size_t inZone = 0;
   const std::vector<Member> members = mGossip->table().all();
-  // Members that are taken for dead may only be cut off, and still send.
-  std::set<InstanceId> instances = mRegistered;
   for (const Member& member : members) {
-    instances.insert(member.mId);
+    inZone += member.mZone == mSettings.mZone ? 1 : 0;
   }
-  mView.mInstances = std::max<std::size_t>(instances.size(), 1);
-  std::vector<std::uint64_t> hashes;
-  for (const InstanceId& instance : instances) {
-    hashes.push_back(hashText(instance.text()));
+  // Members that are taken for dead may only be cut off, and still send.
+  mView.mInstances = std::max<std::size_t>(members.size(), 1);
+  const bool recent = mHost.now() - mRegisteredAt < kGossipSpan;
+  mView.mContext.mZoneInstances = recent ? std::max(inZone, mRegisteredInZone) : inZone;
+  if (mRegisteredAt == TimePoint{}) {
+    mView.mContext.mZoneInstances = 0;
   }
-  // Before the store named the others, this one must not take the share of all.
-  mCarrier.setInstances(mRegistered.empty() ? std::vector<std::uint64_t>{} : std::move(hashes),
-                        hashText(mSettings.mInstance.text()));
   mRoles = assignNewsRoles(members, mSettings.mRegions, mSettings.mZone);
 }
 
--- a/bulrushrun/steering/RequestCarrier.h
+++ b/bulrushrun/steering/RequestCarrier.h
@@ -68,11 +68,6 @@
   void accept(HttpRequest aRequest, ResponderPtr aResponder);
   /// \brief Ends requests whose callers have left, and forgets unknown targets.
   void sweep();
-  /// \brief Sets the instances among which the bound on cold targets is shared.
-  void setInstances(std::vector<std::uint64_t> aInstances, std::uint64_t aSelf)
-  {
-    mPicker.setInstances(std::move(aInstances), aSelf);
-  }
   /// \brief \returns requests in progress.
   std::size_t inProgress() const { return mRequests.size(); }
   const CarrierCounters& counters() const { return mCounters; }
--- a/bulrushrun/steering/SteeringInstance.h
+++ b/bulrushrun/steering/SteeringInstance.h
@@ -87,6 +87,8 @@
   static constexpr Duration kExitMargin = std::chrono::milliseconds(300);
   /// Part of the grace after which no more requests are taken: the rest is for those in progress.
   static constexpr double kTakingShare = 0.5;
+  /// Time after which gossip knows all instances that are running.
+  static constexpr Duration kGossipSpan = std::chrono::seconds(10);
   static constexpr Duration kWriteLimit = std::chrono::milliseconds(1500);
   static constexpr Duration kWritePause = std::chrono::milliseconds(400);
   static constexpr std::size_t kMaxAnswerBytes = std::size_t{ 1024 } * 1024;
@@ -146,8 +148,9 @@
   DrainSequence<HostType> mDrain;
   std::unique_ptr<Gossip<HostType>> mGossip;
   NewsRoles mRoles;
-  /// Instances that the store named after the start; none before.
-  std::set<InstanceId> mRegistered;
+  /// Instances of this zone that the store named after the start, and when; none before.
+  std::size_t mRegisteredInZone = 0;
+  TimePoint mRegisteredAt;
   std::set<std::string> mReportedEntries;
   std::function<void(const CallerLimits&)> mOnLimits;
   std::function<void()> mOnClosed;
--- a/bulrushrun/steering/TargetPicker.h
+++ b/bulrushrun/steering/TargetPicker.h
@@ -47,6 +47,8 @@
   double mColdBound = 0;
   /// Time after the first sight of a target for which it is taken for cold.
   Duration mColdSpan{ 0 };
+  /// Instances of this zone; zero while unknown, then cold targets get nothing from this one.
+  std::size_t mZoneInstances = 0;
   /// Targets first seen before this moment were there at the start, and are not cold for it.
   TimePoint mStarted;
 };
@@ -84,11 +86,6 @@
 
   /// \brief \returns what was observed of a target.
   TargetStats& stats(const TargetId& aTarget) { return mStats[aTarget]; }
-  /// \brief Sets the instances among which the bound on cold targets is shared.
-  void setInstances(std::vector<std::uint64_t> aInstances, std::uint64_t aSelf)
-  {
-    mCold.setInstances(std::move(aInstances), aSelf);
-  }
   /// \brief Forgets targets that are no longer known.
   void forgetUnknown(const TargetTable& aTable);
 
