--- a/bulrushrun/steering/TargetPicker.cpp
+++ b/bulrushrun/steering/TargetPicker.cpp
@@ -108,9 +108,9 @@
   });
   const std::size_t spread =
     aQuery.mAffinity == Affinity::Object ? std::min(kSpread, open.size()) : open.size();
-  const std::array<Round, 3> rounds{ { { spread, kFullFactor },
-                                       { open.size(), kIdleFactor },
-                                       { spread, kQueueFactor } } };
+  const std::array<Round, 3> rounds{
+    { { spread, kFullFactor }, { open.size(), kIdleFactor }, { spread, kQueueFactor } }
+  };
   for (const Round& round : rounds) {
     for (std::size_t i = 0; i < round.mCandidates; ++i) {
       const KnownTarget& target = *open[i].mTarget;
