--- a/bulrushrun/steering/CarrierActions.h
+++ b/bulrushrun/steering/CarrierActions.h
@@ -2,6 +2,7 @@
 
 #include "bulrushrun/steering/RequestCarrier.h"
 
+#include <array>
 #include <cstdio>
 
 /// \file
@@ -89,12 +90,14 @@
   const TimePoint now = mHost.now();
   const Pick pick = mPicker.pick(
     queryFor(aRequest), mView.mTargets.usable(aRequest.mService, now), contextFor(aRequest), now);
+  aRequest.mUsable = pick.mUsable;
+  aRequest.mColdLimited = pick.mColdLimited;
+  aRequest.mLoad = pick.mLoad;
   if (pick.mTarget == nullptr) {
     if (aRequest.mReason.empty()) {
       aRequest.mReason =
-        pick.mFailure == PickFailure::AllBusy ? "all targets are busy" : "no usable target";
+        pick.mFailure == PickFailure::AllBusy ? "all targets are busy or cold" : "no usable target";
     }
-    aRequest.mReason += " usable=" + std::to_string(pick.mUsable);
     apply(aRequest.mId, RequestEvent::Refused);
     return;
   }
@@ -185,13 +188,18 @@
   mMetrics.onRequest(
     aRequest.mRoute->mName, aRequest.mService, aOutcome, mHost.now() - aRequest.mArrived);
   const std::string target = aRequest.mSend ? aRequest.mSend->mTarget.text() : "-";
+  std::array<char, 16> load{};
+  std::snprintf(load.data(), load.size(), "%.1f", aRequest.mLoad);
+  const TimePoint now = mHost.now();
   mHost.log(events::kRequestEnded,
             "id=" + aRequest.mFacts.mId + " route=" + aRequest.mRoute->mName +
               " version=" + std::to_string(aRequest.mPlan->mVersion.value()) +
               " service=" + aRequest.mService.text() + " target=" + target +
-              " sends=" + std::to_string(aRequest.mSends) + " outcome=" + aOutcome +
-              " status=" + std::to_string(aStatus) +
-              " ms=" + std::to_string(toMillis(mHost.now() - aRequest.mArrived)) +
+              " load=" + load.data() + " usable=" + std::to_string(aRequest.mUsable) +
+              " cold_limited=" + std::to_string(aRequest.mColdLimited) +
+              " news_age_ms=" + std::to_string(toMillis(now - mView.mCurrentAt)) +
+              " sends=" + std::to_string(aRequest.mSends) + " outcome=" + aOutcome + " status=" +
+              std::to_string(aStatus) + " ms=" + std::to_string(toMillis(now - aRequest.mArrived)) +
               (aRequest.mReason.empty() ? "" : " reason=\"" + aRequest.mReason + "\""));
   mRequests.erase(aRequest.mId.value());
 }
--- a/bulrushrun/steering/InstanceTables.h
+++ b/bulrushrun/steering/InstanceTables.h
@@ -105,6 +105,7 @@
     mView.mContext.mStarted = mHost.now();
   }
   mCurrentAt[index] = std::max(mCurrentAt[index], aWhen);
+  mView.mCurrentAt = mCurrentAt[static_cast<std::size_t>(NewsTable::Targets)];
 }
 
 template<class HostType, class Adapter>
--- a/bulrushrun/steering/RequestCarrier.h
+++ b/bulrushrun/steering/RequestCarrier.h
@@ -26,6 +26,8 @@
   double mColdSlack = 0;
   /// Instances that may exist, and share what is bounded for the fleet.
   std::size_t mInstances = 1;
+  /// When what is known of targets was current at the store.
+  TimePoint mCurrentAt;
   /// A planned stop is under way: callers are to leave their connections.
   bool mStopping = false;
   /// Too little of the stop's grace is left for new requests.
--- a/bulrushrun/steering/SteeredRequest.h
+++ b/bulrushrun/steering/SteeredRequest.h
@@ -53,6 +53,10 @@
   std::optional<TargetSend> mSend;
   /// The head was passed on to the caller.
   bool mStreaming = false;
+  /// What the last choice of a target saw, for the log.
+  std::size_t mUsable = 0;
+  std::size_t mColdLimited = 0;
+  double mLoad = 0;
   /// Why the last send failed or none was made, for the log.
   std::string mReason;
   TimerId mLimitTimer;
--- a/bulrushrun/steering/TargetPicker.cpp
+++ b/bulrushrun/steering/TargetPicker.cpp
@@ -114,12 +114,15 @@
   for (const Round& round : rounds) {
     for (std::size_t i = 0; i < round.mCandidates; ++i) {
       const KnownTarget& target = *open[i].mTarget;
-      if (open[i].mLoad + 1 <= round.mFactor * target.mEntry.mSlots &&
-          admitsCold(target, aContext, aNow)) {
+      if (open[i].mLoad + 1 > round.mFactor * target.mEntry.mSlots) {
+        continue;
+      }
+      if (admitsCold(target, aContext, aNow)) {
         result.mTarget = &target;
         result.mLoad = open[i].mLoad;
         return result;
       }
+      ++result.mColdLimited;
     }
   }
   result.mFailure = PickFailure::AllBusy;
--- a/bulrushrun/steering/TargetPicker.h
+++ b/bulrushrun/steering/TargetPicker.h
@@ -70,6 +70,8 @@
   PickFailure mFailure = PickFailure::None;
   /// Inputs of the decision, for the log.
   std::size_t mUsable = 0;
+  /// Cold targets that may not get more from this instance now.
+  std::size_t mColdLimited = 0;
   double mLoad = 0;
 };
 
