Larger shares of what cold targets may get; a new instance waits until the others know it

A request counts in the second in which it was sent and received, so the sender's own second is exact; 0.95 of the bound is used. What the margin stood for, an instance that the others don't know, is now a rule of its own: one that never stood in the instances' table sends nothing to cold targets for two seconds after it registered.

--- a/bulrushrun/limits/ColdAdmission.h
+++ b/bulrushrun/limits/ColdAdmission.h
@@ -12,8 +12,7 @@
 /// under the fleet's bound although none knows what the others send.
 ///
 /// Only instances of the target's zone send to it while it is cold; each takes an equal share of
-/// the bound. Counted over a sliding window that is a little longer than the bound's second, since
-/// requests arrive later than they are sent.
+/// the bound, counted over a sliding window.
 class ColdAdmission
 {
 public:
@@ -41,10 +40,11 @@
   void forget(const TargetId& aTarget) { mSent.erase(aTarget); }
 
 private:
-  /// The bound's second, and the spread of the time on the way.
-  static constexpr Duration kWindow = std::chrono::milliseconds(1300);
-  /// Part of the bound that is used: instances join before the others have heard of them.
-  static constexpr double kMargin = 0.7;
+  /// The bound's second, by the sender's clock: a request counts in the second in which it was both
+  /// sent and received.
+  static constexpr Duration kWindow = std::chrono::milliseconds(1030);
+  /// Part of the bound that is used.
+  static constexpr double kMargin = 0.95;
 
   std::map<TargetId, std::deque<TimePoint>> mSent;
 };
--- a/bulrushrun/steering/InstanceFleet.h
+++ b/bulrushrun/steering/InstanceFleet.h
@@ -50,8 +50,13 @@
                ConfigurationVersion{} };
   mGossip = std::make_unique<Gossip<HostType>>(
     mHost, std::move(self), mSettings.mSeeds, mSettings.mPeerKeys, gossipListener());
+  for (const Endpoint& peer : mStoredPeers) {
+    mGossip->contact(peer);
+  }
+  mRegisteredAt = mHost.now();
   joinPeers();
-  readInstances();
+  updateFleet();
+  mHost.after(kIntroductionSpan, [this] { updateFleet(); });
 }
 
 template<class HostType, class Adapter>
@@ -78,18 +83,17 @@
 template<class HostType, class Adapter>
 void SteeringInstance<HostType, Adapter>::onInstances(const Table& aRows)
 {
-  std::size_t inZone = 0;
   for (const StoreRow& row : aRows) {
     const std::size_t space = std::min(row.mValue.find(' '), row.mValue.size());
     const std::optional<Endpoint> peer = parseEndpoint(row.mValue.substr(0, space));
-    inZone += row.mValue.substr(space) == " " + mSettings.mZone.text() ? 1 : 0;
-    if (peer && *peer != mSettings.mPeer) {
-      mGossip->contact(*peer);
+    const bool self = row.mKey == mSettings.mInstance.text();
+    mIntroduced = mIntroduced || self;
+    mRegisteredInZone += row.mValue.substr(space) == " " + mSettings.mZone.text() ? 1 : 0;
+    if (peer && !self) {
+      mStoredPeers.push_back(*peer);
     }
   }
-  mRegisteredInZone = inZone;
-  mRegisteredAt = mHost.now();
-  updateFleet();
+  registerSelf();
 }
 
 /// Peers name this instance to callers as soon as they know it, so it joins them when it is ready.
@@ -163,9 +167,10 @@
   }
   // Members that are taken for dead may only be cut off, and still send.
   mView.mInstances = std::max<std::size_t>(members.size(), 1);
-  const bool recent = mHost.now() - mRegisteredAt < kGossipSpan;
-  mView.mContext.mZoneInstances = recent ? std::max(inZone, mRegisteredInZone) : inZone;
-  if (mRegisteredAt == TimePoint{}) {
+  const Duration since = mHost.now() - mRegisteredAt;
+  mView.mContext.mZoneInstances =
+    since < kGossipSpan ? std::max(inZone, mRegisteredInZone) : inZone;
+  if (!mIntroduced && since < kIntroductionSpan) {
     mView.mContext.mZoneInstances = 0;
   }
   mRoles = assignNewsRoles(members, mSettings.mRegions, mSettings.mZone);
--- a/bulrushrun/steering/InstanceTables.h
+++ b/bulrushrun/steering/InstanceTables.h
@@ -70,7 +70,7 @@
     follower.start();
   }
   mNews.start();
-  registerSelf();
+  readInstances();
   sweep();
 }
 
--- a/bulrushrun/steering/SteeringInstance.h
+++ b/bulrushrun/steering/SteeringInstance.h
@@ -87,6 +87,9 @@
   static constexpr Duration kExitMargin = std::chrono::milliseconds(300);
   /// Part of the grace after which no more requests are taken: the rest is for those in progress.
   static constexpr double kTakingShare = 0.5;
+  /// Time after which the others know an instance that was never there before. Until then they do
+  /// not leave it a share of what cold targets may get.
+  static constexpr Duration kIntroductionSpan = std::chrono::seconds(2);
   /// Time after which gossip knows all instances that are running.
   static constexpr Duration kGossipSpan = std::chrono::seconds(10);
   static constexpr Duration kWriteLimit = std::chrono::milliseconds(1500);
@@ -148,8 +151,11 @@
   DrainSequence<HostType> mDrain;
   std::unique_ptr<Gossip<HostType>> mGossip;
   NewsRoles mRoles;
-  /// Instances of this zone that the store named after the start, and when; none before.
+  /// What the store named at the start: peers, instances of this zone, and whether this one was
+  /// among them.
+  std::vector<Endpoint> mStoredPeers;
   std::size_t mRegisteredInZone = 0;
+  bool mIntroduced = false;
   TimePoint mRegisteredAt;
   std::set<std::string> mReportedEntries;
   std::function<void(const CallerLimits&)> mOnLimits;
