Log: every failed send names its request, target and reason

Cause: a decline, an answer that no target signed and a target's own failure left no line; three kinds of failed request could not be followed from their id.

--- a/bulrushrun/steering/CarrierExchange.h
+++ b/bulrushrun/steering/CarrierExchange.h
@@ -131,12 +131,18 @@
   ++(unreached ? request->mUnreached : request->mSends);
   stats.onEnd(unreached ? SendResult::Unreachable : SendResult::Broken, took, now);
   request->mReason = aReason;
-  mHost.log(events::kSendFailed,
-            "id=" + request->mFacts.mId + " target=" + send.mTarget.text() + " reason=\"" +
-              aReason + "\" ms=" + std::to_string(toMillis(took)));
+  logFailedSend(*request, took);
   apply(aId, unreached ? RequestEvent::ConnectFailed : RequestEvent::ExchangeBroken);
 }
 
+template<class HostType, class Wire>
+void RequestCarrier<HostType, Wire>::logFailedSend(const Request& aRequest, Duration aTook)
+{
+  mHost.log(events::kSendFailed,
+            "id=" + aRequest.mFacts.mId + " target=" + aRequest.mSend->mTarget.text() +
+              " reason=\"" + aRequest.mReason + "\" ms=" + std::to_string(toMillis(aTook)));
+}
+
 /// A whole answer came. Failures of the target may be tried again elsewhere.
 template<class HostType, class Wire>
 void RequestCarrier<HostType, Wire>::onWhole(Request& aRequest)
@@ -150,12 +156,14 @@
   if (send.mFacts.mDeclined) {
     stats.onEnd(SendResult::Declined, took, now);
     aRequest.mReason = "the target declined with " + std::to_string(status);
+    logFailedSend(aRequest, took);
     apply(id, RequestEvent::TargetDeclined);
     return;
   }
   if (!aRequest.mStreaming && !isTrustworthy(send)) {
     stats.onEnd(SendResult::Broken, took, now);
     aRequest.mReason = "the answer is not the target's own";
+    logFailedSend(aRequest, took);
     apply(id, RequestEvent::ExchangeBroken);
     return;
   }
@@ -168,6 +176,7 @@
   }
   if (failed && !aRequest.mStreaming && aRequest.mRoute->mIdempotent && mayRepeat(aRequest)) {
     aRequest.mReason = "the target failed with " + std::to_string(status);
+    logFailedSend(aRequest, took);
     ++mCounters.mRepeats;
     aRequest.mMachine.apply(RequestEvent::ExchangeBroken);
     dispatch(aRequest);
--- a/bulrushrun/steering/RequestCarrier.h
+++ b/bulrushrun/steering/RequestCarrier.h
@@ -119,6 +119,7 @@
   void onEnd(RequestId aId, ExchangeEnd aEnd, const std::string& aReason);
   void onWhole(Request& aRequest);
   void onLimit(RequestId aId);
+  void logFailedSend(const Request& aRequest, Duration aTook);
   void startStreaming(Request& aRequest);
   void dropSend(Request& aRequest);
   void passHead(Request& aRequest, std::optional<std::uint64_t> aLength);
