Members that nothing read are gone

Found on reading the change as a newcomer: a smoothed latency that no decision used, a constant and three accessors without a caller.

--- a/bulrushrun/steering/CarrierExchange.h
+++ b/bulrushrun/steering/CarrierExchange.h
@@ -129,7 +129,7 @@
   }
   const bool unreached = aEnd == ExchangeEnd::NotSent;
   ++(unreached ? request->mUnreached : request->mSends);
-  stats.onEnd(unreached ? SendResult::Unreachable : SendResult::Broken, took, now);
+  stats.onEnd(unreached ? SendResult::Unreachable : SendResult::Broken, now);
   request->mReason = aReason;
   logFailedSend(*request, took);
   apply(aId, unreached ? RequestEvent::ConnectFailed : RequestEvent::ExchangeBroken);
@@ -154,21 +154,21 @@
   TargetStats& stats = mPicker.stats(send.mTarget);
   const int status = send.mHead->mStatus;
   if (send.mFacts.mDeclined) {
-    stats.onEnd(SendResult::Declined, took, now);
+    stats.onEnd(SendResult::Declined, now);
     aRequest.mReason = "the target declined with " + std::to_string(status);
     logFailedSend(aRequest, took);
     apply(id, RequestEvent::TargetDeclined);
     return;
   }
   if (!aRequest.mStreaming && !isTrustworthy(send)) {
-    stats.onEnd(SendResult::Broken, took, now);
+    stats.onEnd(SendResult::Broken, now);
     aRequest.mReason = "the answer is not the target's own";
     logFailedSend(aRequest, took);
     apply(id, RequestEvent::ExchangeBroken);
     return;
   }
   const bool failed = status >= 500;
-  stats.onEnd(failed ? SendResult::FailedAnswer : SendResult::Answered, took, now);
+  stats.onEnd(failed ? SendResult::FailedAnswer : SendResult::Answered, now);
   if (!failed) {
     Duration& usual = mLatencies[aRequest.mService];
     constexpr int kSmoothing = 16;
--- a/bulrushrun/steering/SteeringInstance.h
+++ b/bulrushrun/steering/SteeringInstance.h
@@ -96,8 +96,6 @@
   static constexpr Duration kWritePause = std::chrono::milliseconds(400);
   static constexpr std::size_t kMaxAnswerBytes = std::size_t{ 1024 } * 1024;
   static constexpr std::size_t kMaxLookupAddresses = 64;
-  /// Instances named in a look-up's answer, where there are as many.
-  static constexpr std::size_t kWantedAddresses = 2;
 
   /// Parts of the tightest bound on news: how often an instance hears that it is current, and the
   /// age from which it asks the store itself. Between them lies one lost answer; what is left of
--- a/bulrushrun/steering/TargetStats.cpp
+++ b/bulrushrun/steering/TargetStats.cpp
@@ -2,17 +2,13 @@
 
 namespace bulrushrun {
 
-void TargetStats::onEnd(SendResult aResult, Duration aLatency, TimePoint aNow)
+void TargetStats::onEnd(SendResult aResult, TimePoint aNow)
 {
   mInFlight = std::max(mInFlight - 1, 0);
   const bool answered = aResult == SendResult::Answered;
   const bool silent = aResult == SendResult::Broken || aResult == SendResult::Unreachable;
   mFailureShare += kFailureWeight * ((answered ? 0.0 : 1.0) - mFailureShare);
   if (answered) {
-    const double old = static_cast<double>(mLatency.count());
-    const double now = static_cast<double>(aLatency.count());
-    const double smooth = mLatency.count() == 0 ? now : old + kLatencyWeight * (now - old);
-    mLatency = Duration{ static_cast<std::int64_t>(smooth) };
     mConsecutive = 0;
     mProbation = false;
     if (mFailureShare < kMaxFailureShare / 4) {
--- a/bulrushrun/steering/TargetStats.h
+++ b/bulrushrun/steering/TargetStats.h
@@ -38,8 +38,8 @@
 public:
   /// \brief One more request is in progress there.
   void onSent() { ++mInFlight; }
-  /// \brief A request ended. \param aLatency  time since it was sent
-  void onEnd(SendResult aResult, Duration aLatency, TimePoint aNow);
+  /// \brief A request ended.
+  void onEnd(SendResult aResult, TimePoint aNow);
   /// \brief A request was given up before it ended.
   void onCancelled() { mInFlight = std::max(mInFlight - 1, 0); }
   /// \brief Takes a load that the target reported.
@@ -53,10 +53,6 @@
   bool isEjected(TimePoint aNow) const { return aNow < mEjectedUntil; }
   /// \brief \returns true when it came back from an ejection and has not answered since.
   bool isOnProbation() const { return mProbation; }
-  /// \brief \returns the smoothed time to an answer; zero before the first.
-  Duration latency() const { return mLatency; }
-  /// \brief \returns the smoothed share of failures.
-  double failureShare() const { return mFailureShare; }
 
 private:
   /// Consecutive sends without any answer after which the target is taken out.
@@ -64,7 +60,6 @@
   /// Share of failures that takes it out, and the weight of the newest result in that share.
   static constexpr double kMaxFailureShare = 0.4;
   static constexpr double kFailureWeight = 0.15;
-  static constexpr double kLatencyWeight = 0.2;
   static constexpr Duration kMinEjection = std::chrono::milliseconds(1000);
   static constexpr Duration kMaxEjection = std::chrono::milliseconds(8000);
   /// A report counts fully for the first span, then less and less until the second.
@@ -78,7 +73,6 @@
   TimePoint mReportedAt;
   int mConsecutive = 0;
   double mFailureShare = 0;
-  Duration mLatency{ 0 };
   Duration mEjection = kMinEjection;
   TimePoint mEjectedUntil;
   bool mProbation = false;
--- a/bulrushrun/steering/tests/TargetPickerTest.cpp
+++ b/bulrushrun/steering/tests/TargetPickerTest.cpp
@@ -141,7 +141,7 @@
   {
     for (int i = 0; i < aTimes; ++i) {
       mPicker.stats(aTarget).onSent();
-      mPicker.stats(aTarget).onEnd(aResult, std::chrono::milliseconds(5), mNow);
+      mPicker.stats(aTarget).onEnd(aResult, mNow);
     }
   }
 };
--- a/bulrushrun/store/TableFollower.h
+++ b/bulrushrun/store/TableFollower.h
@@ -71,10 +71,6 @@
   /// \brief Begins to read.
   void start() { readPage(""); }
 
-  /// \brief \returns true when the last call was answered.
-  bool isAvailable() const { return mAvailable; }
-  /// \brief \returns when the table was last known to be current.
-  TimePoint currentAt() const { return mCurrentAt; }
   /// \brief \returns the version that was reached.
   RecordVersion version() const { return mVersion; }
 
@@ -153,7 +149,6 @@
 
   void succeed()
   {
-    mCurrentAt = mHost.now();
     mBackoff = kMinBackoff;
     if (!std::exchange(mAvailable, true)) {
       mListener.mOnAvailability(true, "");
@@ -197,7 +192,6 @@
   TableListener mListener;
   std::vector<StoreRow> mPending;
   RecordVersion mVersion;
-  TimePoint mCurrentAt;
   Duration mBackoff = kMinBackoff;
   bool mAvailable = true;
   bool mActive = true;
