--- a/bulrushrun/net/EventLoop.cpp
+++ b/bulrushrun/net/EventLoop.cpp
@@ -22,6 +22,13 @@
 EventLoop::EventLoop()
   : mLoop(h2o_evloop_create())
 {
+  h2o_timeout_init(mLoop, &mImmediately, 0);
+  mRound = { { 0, onRound, {} }, this };
+}
+
+EventLoop::~EventLoop()
+{
+  h2o_timeout_dispose(mLoop, &mImmediately);
 }
 
 TimePoint EventLoop::now()
@@ -61,8 +68,19 @@
   mStopped = false;
   while (!mStopped) {
     h2o_evloop_run(mLoop, waitMillis());
-    mTimers.runDue(now());
+    runTimers();
   }
 }
 
+void EventLoop::runTimers()
+{
+  h2o_timeout_link(mLoop, &mImmediately, &mRound.mEntry);
+  h2o_timeout_run(mLoop, &mImmediately, h2o_now(mLoop));
+}
+
+void EventLoop::onRound(h2o_timeout_entry_t* aEntry)
+{
+  reinterpret_cast<Round*>(aEntry)->mLoop->mTimers.runDue(now());
+}
+
 } // namespace bulrushrun
--- a/bulrushrun/net/EventLoop.h
+++ b/bulrushrun/net/EventLoop.h
@@ -20,6 +20,11 @@
 {
 public:
   EventLoop();
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+  EventLoop(EventLoop&&) = delete;
+  EventLoop& operator=(EventLoop&&) = delete;
+  ~EventLoop();
 
   /// \brief \returns the monotonic time, read afresh.
   static TimePoint now();
@@ -41,9 +46,23 @@
   h2o_loop_t* raw() { return mLoop; }
 
 private:
+  /// h2o's timer entry, with the way back to the loop.
+  struct Round
+  {
+    h2o_timeout_entry_t mEntry;
+    EventLoop* mLoop;
+  };
+
+  static void onRound(h2o_timeout_entry_t* aEntry);
+
   std::int32_t waitMillis() const;
+  void runTimers();
 
   h2o_loop_t* mLoop;
+  /// Timers run inside a timer of h2o: h2o reports on the sockets that they used before it frees
+  /// those that they closed.
+  h2o_timeout_t mImmediately{};
+  Round mRound{};
   TimerQueue mTimers;
   std::vector<std::unique_ptr<std::function<void()>>> mWatchers;
   bool mStopped = false;
