A request whose caller left ends its connection

Cause: h2o ends a request by an answer only. One that was dropped because its caller had left kept its connection, its descriptor and its place among the open answers for good, so that a planned stop waited to its limit. Before: AServer.ClosesTheConnectionOfARequestThatGetsNoAnswer hung; after: passes.

--- a/bulrushrun/net/HttpResponder.cpp
+++ b/bulrushrun/net/HttpResponder.cpp
@@ -109,6 +109,13 @@
   if (mRequest == nullptr || mFinished || mAborted) {
     return;
   }
+  if (!mStarted) {
+    // h2o ends a request by an answer only. The caller has left, as a rule, and does not read it.
+    constexpr int kBadGateway = 502;
+    start({ kBadGateway, {}, 0, true });
+    finish();
+    return;
+  }
   mAborted = true;
   flush();
 }
--- a/bulrushrun/net/tests/HttpTest.cpp
+++ b/bulrushrun/net/tests/HttpTest.cpp
@@ -171,6 +171,10 @@
 
   void handle(HttpResponder& aResponder)
   {
+    if (mLast.mPath == "/unanswered") {
+      aResponder.abort();
+      return;
+    }
     if (mLast.mPath == "/broken") {
       aResponder.start({ 200, {}, std::nullopt });
       aResponder.write("part");
@@ -225,6 +229,13 @@
   EXPECT_EQ(*exchange(mLoop, kServer, { "GET", "/broken", {}, {} }).mEnd, ExchangeEnd::Broken);
 }
 
+TEST_F(AServer, ClosesTheConnectionOfARequestThatGetsNoAnswer)
+{
+  const std::string answer = rawAnswer("GET /unanswered HTTP/1.1\r\nHost: a\r\n\r\n");
+  EXPECT_EQ(answer.find(" 200 "), std::string::npos) << answer;
+  EXPECT_EQ(mServer.inProgress(), 0U);
+}
+
 TEST_F(AServer, RefusesABodyBeyondTheBound)
 {
   const std::string body(kMaxRequestBodyBytes + 1, 'x');
--- a/bulrushrun/steering/CarrierActions.h
+++ b/bulrushrun/steering/CarrierActions.h
@@ -49,6 +49,7 @@
       sayFailed(aRequest);
       break;
     case RequestAction::Drop:
+      aRequest.mResponder->abort();
       finish(aRequest, "dropped", 0);
       break;
     default:
