Homes weighted by region; objects wait at home before cold runs; full targets are no outliers

Declines of full targets counted as failures and ejected them, which moved further objects. Requests crossed regions in two of three cases, although an object is asked for from one region only. Changes: a target that declines although its report says full is no outlier; the second target takes an object only into a free slot, and the home's queue goes before idle targets; targets of the own region weigh as many times more as there are regions; a large answer comes from the own zone while the object's target there has a slot, else from the object's home.

--- a/bulrushrun/routing.h
+++ b/bulrushrun/routing.h
@@ -13,5 +13,6 @@
 // The queue before the owned targets.
 #include "bulrushrun/routing/PooledTarget.h"
 #include "bulrushrun/routing/ServicePool.h"
+#include "bulrushrun/routing/ZoneMap.h"
 // Routes by host and prefix, weighted splits.
 #include "bulrushrun/routing/RoutePlan.h"
--- /dev/null
+++ b/bulrushrun/routing/ZoneMap.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "bulrushrun/core.h"
+
+#include <map>
+#include <set>
+#include <utility>
+
+namespace bulrushrun {
+
+/// \brief How far a zone is from the own one.
+enum class Distance
+{
+  SameZone,
+  SameRegion,
+  OtherRegion,
+};
+
+/// \brief The deployment's zones and regions, seen from one of its zones.
+class ZoneMap
+{
+public:
+  ZoneMap() = default;
+  ZoneMap(ZoneName aOwn, std::map<ZoneName, RegionName> aRegions)
+    : mOwn(std::move(aOwn))
+    , mRegions(std::move(aRegions))
+  {
+    std::set<RegionName> names;
+    for (const auto& [zone, region] : mRegions) {
+      names.insert(region);
+    }
+    mRegionCount = names.size();
+  }
+
+  const ZoneName& own() const { return mOwn; }
+  /// \brief \returns the region of a zone; an empty name for an unknown zone.
+  const RegionName& regionOf(const ZoneName& aZone) const
+  {
+    static const RegionName kUnknown;
+    const auto found = mRegions.find(aZone);
+    return found == mRegions.end() ? kUnknown : found->second;
+  }
+  Distance distance(const ZoneName& aZone) const
+  {
+    if (aZone == mOwn) {
+      return Distance::SameZone;
+    }
+    return regionOf(aZone) == regionOf(mOwn) ? Distance::SameRegion : Distance::OtherRegion;
+  }
+  std::size_t regionCount() const { return mRegionCount; }
+
+private:
+  ZoneName mOwn;
+  std::map<ZoneName, RegionName> mRegions;
+  std::size_t mRegionCount = 0;
+};
+
+} // namespace bulrushrun
--- a/bulrushrun/steering/CarrierActions.h
+++ b/bulrushrun/steering/CarrierActions.h
@@ -70,19 +70,12 @@
   query.mLargeAnswer = route.mLargeAnswers;
   query.mTried = aRequest.mTried;
   query.mHomeRegions = route.mHomeRegions;
-  return query;
-}
-
-template<class HostType, class Wire>
-PickContext RequestCarrier<HostType, Wire>::contextFor(const Request& aRequest) const
-{
-  PickContext context = mView.mContext;
   const ServiceTerms* terms = aRequest.mPlan->terms(aRequest.mService);
   if (terms != nullptr) {
-    context.mColdBound = terms->mColdPerSecond * mView.mColdFactor + mView.mColdSlack;
-    context.mColdSpan = terms->mColdSpan;
+    query.mColdBound = terms->mColdPerSecond * mView.mColdFactor + mView.mColdSlack;
+    query.mColdSpan = terms->mColdSpan;
   }
-  return context;
+  return query;
 }
 
 template<class HostType, class Wire>
@@ -90,10 +83,11 @@
 {
   const TimePoint now = mHost.now();
   const Pick pick = mPicker.pick(
-    queryFor(aRequest), mView.mTargets.usable(aRequest.mService, now), contextFor(aRequest), now);
+    queryFor(aRequest), mView.mTargets.usable(aRequest.mService, now), mView.mContext, now);
   aRequest.mUsable = pick.mUsable;
   aRequest.mColdLimited = pick.mColdLimited;
   aRequest.mLoad = pick.mLoad;
+  aRequest.mPlace = pick.mPlace;
   if (pick.mTarget == nullptr) {
     if (aRequest.mReason.empty()) {
       aRequest.mReason =
@@ -195,7 +189,8 @@
   mHost.log(events::kRequestEnded,
             "id=" + aRequest.mFacts.mId + " route=" + aRequest.mRoute->mName +
               " version=" + std::to_string(aRequest.mPlan->mVersion.value()) +
-              " service=" + aRequest.mService.text() + " target=" + target +
+              " service=" + aRequest.mService.text() + " target=" + target + " object=" +
+              aRequest.mFacts.mObject.value_or("-") + " place=" + std::to_string(aRequest.mPlace) +
               " load=" + load.data() + " usable=" + std::to_string(aRequest.mUsable) +
               " cold_limited=" + std::to_string(aRequest.mColdLimited) +
               " news_age_ms=" + std::to_string(toMillis(now - mView.mCurrentAt)) +
--- a/bulrushrun/steering/CarrierExchange.h
+++ b/bulrushrun/steering/CarrierExchange.h
@@ -154,7 +154,8 @@
   TargetStats& stats = mPicker.stats(send.mTarget);
   const int status = send.mHead->mStatus;
   if (send.mFacts.mDeclined) {
-    stats.onEnd(SendResult::Declined, now);
+    const bool full = send.mFacts.mLoad && send.mFacts.mLoad->isFull();
+    stats.onEnd(full ? SendResult::Full : SendResult::Declined, now);
     aRequest.mReason = "the target declined with " + std::to_string(status);
     logFailedSend(aRequest, took);
     apply(id, RequestEvent::TargetDeclined);
--- a/bulrushrun/steering/InstanceService.h
+++ b/bulrushrun/steering/InstanceService.h
@@ -53,8 +53,7 @@
     if (member.mState != MemberState::Alive || (self && !isReady())) {
       continue;
     }
-    const auto region = mSettings.mRegions.find(member.mZone);
-    const bool near = region != mSettings.mRegions.end() && region->second == aQuery.mRegion;
+    const bool near = mView.mContext.mZones.regionOf(member.mZone) == aQuery.mRegion;
     std::vector<Endpoint>& group =
       member.mZone == aQuery.mZone ? inZone : (near ? inRegion : beyond);
     group.push_back(member.mListen);
--- a/bulrushrun/steering/InstanceTables.h
+++ b/bulrushrun/steering/InstanceTables.h
@@ -46,8 +46,7 @@
             [this](bool aDisappointed) { return choosePeer(aDisappointed); } })
   , mDrain(aHost, aSettings.mBounds.mGrace - kExitMargin, drainSteps(std::move(aOnExit)))
 {
-  mView.mContext.mZone = mSettings.mZone;
-  mView.mContext.mRegions = mSettings.mRegions;
+  mView.mContext.mZones = ZoneMap{ mSettings.mZone, mSettings.mRegions };
   setBounds(mSettings.mBounds);
   mCarrier.setOnTargetNews(
     [this](const TargetId& aTarget, const AnswerFacts& aFacts) { onTargetNews(aTarget, aFacts); });
--- a/bulrushrun/steering/RequestCarrier.h
+++ b/bulrushrun/steering/RequestCarrier.h
@@ -127,7 +127,6 @@
 
   Request* find(RequestId aId);
   PickQuery queryFor(const Request& aRequest) const;
-  PickContext contextFor(const Request& aRequest) const;
   std::string retryAfter(const Request& aRequest);
   Duration usualLatency(const ServiceName& aService) const;
 
--- a/bulrushrun/steering/SteeredRequest.h
+++ b/bulrushrun/steering/SteeredRequest.h
@@ -57,6 +57,7 @@
   std::size_t mUsable = 0;
   std::size_t mColdLimited = 0;
   double mLoad = 0;
+  std::size_t mPlace = 0;
   /// Why the last send failed or none was made, for the log.
   std::string mReason;
   TimerId mLimitTimer;
--- a/bulrushrun/steering/TargetPicker.cpp
+++ b/bulrushrun/steering/TargetPicker.cpp
@@ -15,28 +15,9 @@
   return homes.empty() || std::find(homes.begin(), homes.end(), aRegion) != homes.end();
 }
 
-RegionName regionOf(const PickContext& aContext, const ZoneName& aZone)
+bool isCold(const KnownTarget& aTarget, Duration aSpan, TimePoint aStarted, TimePoint aNow)
 {
-  const auto found = aContext.mRegions.find(aZone);
-  return found == aContext.mRegions.end() ? RegionName{} : found->second;
-}
-
-int distance(const PickContext& aContext, const ZoneName& aZone)
-{
-  constexpr int kSameZone = 0;
-  constexpr int kSameRegion = 1;
-  constexpr int kOtherRegion = 2;
-  if (aZone == aContext.mZone) {
-    return kSameZone;
-  }
-  return regionOf(aContext, aZone) == regionOf(aContext, aContext.mZone) ? kSameRegion
-                                                                         : kOtherRegion;
-}
-
-bool isCold(const KnownTarget& aTarget, const PickContext& aContext, TimePoint aNow)
-{
-  const bool isNew =
-    aTarget.mFirstSeen > aContext.mStarted && aNow - aTarget.mFirstSeen < aContext.mColdSpan;
+  const bool isNew = aTarget.mFirstSeen > aStarted && aNow - aTarget.mFirstSeen < aSpan;
   return isNew || aNow < aTarget.mColdUntil;
 }
 
@@ -50,19 +31,21 @@
 {
   std::vector<Candidate> open;
   std::vector<Candidate> ejected;
+  const double nearWeight = static_cast<double>(aContext.mZones.regionCount());
   for (const KnownTarget* target : aUsable) {
     const TargetEntry& entry = target->mEntry;
     if (aContext.mEvacuated.contains(entry.mZone) || aQuery.mTried.contains(entry.mId) ||
-        !isHome(aQuery, regionOf(aContext, entry.mZone))) {
+        !isHome(aQuery, aContext.mZones.regionOf(entry.mZone))) {
       continue;
     }
     const TargetStats& seen = mStats[entry.mId];
     Candidate candidate;
     candidate.mTarget = target;
     candidate.mLoad = seen.load(aNow);
-    candidate.mDistance = distance(aContext, entry.mZone);
+    candidate.mDistance = aContext.mZones.distance(entry.mZone);
     if (aQuery.mAffinity == Affinity::Object) {
-      candidate.mRank = rendezvousScore(aQuery.mObject, target->mHash, entry.mSlots);
+      const double weight = candidate.mDistance == Distance::OtherRegion ? 1 : nearWeight;
+      candidate.mRank = rendezvousScore(aQuery.mObject, target->mHash, weight * entry.mSlots);
     } else {
       candidate.mRank = -candidate.mLoad / entry.mSlots;
     }
@@ -76,15 +59,47 @@
   return open;
 }
 
+TargetPicker::Preference TargetPicker::prefer(const PickQuery& aQuery,
+                                              std::vector<Candidate> aCandidates)
+{
+  Preference preference;
+  std::vector<Candidate>& order = preference.mOrder;
+  order = std::move(aCandidates);
+  const bool byObject = aQuery.mAffinity == Affinity::Object;
+  std::sort(order.begin(), order.end(), [&](const Candidate& aLeft, const Candidate& aRight) {
+    if (!byObject && aLeft.mDistance != aRight.mDistance) {
+      return aLeft.mDistance < aRight.mDistance;
+    }
+    return aLeft.mRank > aRight.mRank;
+  });
+  if (!byObject) {
+    preference.mHomesEnd = preference.mSparesEnd = order.size();
+    return preference;
+  }
+  if (aQuery.mLargeAnswer) {
+    const auto nearest = std::find_if(order.begin(), order.end(), [](const Candidate& aCandidate) {
+      return aCandidate.mDistance == Distance::SameZone;
+    });
+    if (nearest != order.end()) {
+      std::rotate(order.begin(), nearest, nearest + 1);
+      preference.mNear = 1;
+    }
+  }
+  preference.mHomesEnd = std::min(preference.mNear + 1, order.size());
+  preference.mSparesEnd = std::min(preference.mHomesEnd + 1, order.size());
+  return preference;
+}
+
 bool TargetPicker::admitsCold(const KnownTarget& aTarget,
+                              const PickQuery& aQuery,
                               const PickContext& aContext,
                               TimePoint aNow)
 {
-  if (!isCold(aTarget, aContext, aNow)) {
+  if (!isCold(aTarget, aQuery.mColdSpan, aContext.mStarted, aNow)) {
     return true;
   }
-  return aTarget.mEntry.mZone == aContext.mZone &&
-         mCold.admit(aTarget.mEntry.mId, aContext.mColdBound, aContext.mZoneInstances, aNow);
+  return aTarget.mEntry.mZone == aContext.mZones.own() &&
+         mCold.admit(aTarget.mEntry.mId, aQuery.mColdBound, aContext.mZoneInstances, aNow);
 }
 
 Pick TargetPicker::pick(const PickQuery& aQuery,
@@ -92,34 +107,29 @@
                         const PickContext& aContext,
                         TimePoint aNow)
 {
-  std::vector<Candidate> open = candidates(aQuery, aUsable, aContext, aNow);
+  const Preference preference = prefer(aQuery, candidates(aQuery, aUsable, aContext, aNow));
+  const std::vector<Candidate>& order = preference.mOrder;
   Pick result;
-  result.mUsable = open.size();
-  if (open.empty()) {
+  result.mUsable = order.size();
+  if (order.empty()) {
     result.mFailure = PickFailure::NoTarget;
     return result;
   }
-  const bool zoneFirst = aQuery.mLargeAnswer || aQuery.mAffinity == Affinity::None;
-  std::sort(open.begin(), open.end(), [&](const Candidate& aLeft, const Candidate& aRight) {
-    if (zoneFirst && aLeft.mDistance != aRight.mDistance) {
-      return aLeft.mDistance < aRight.mDistance;
-    }
-    return aLeft.mRank > aRight.mRank;
-  });
-  const std::size_t spread =
-    aQuery.mAffinity == Affinity::Object ? std::min(kSpread, open.size()) : open.size();
-  const std::array<Round, 3> rounds{
-    { { spread, kFullFactor }, { open.size(), kIdleFactor }, { spread, kQueueFactor } }
-  };
+  const std::array<Round, 5> rounds{ { { 0, preference.mNear, kFreeFactor },
+                                       { preference.mNear, preference.mHomesEnd, kFullFactor },
+                                       { preference.mHomesEnd, preference.mSparesEnd, kFreeFactor },
+                                       { 0, preference.mHomesEnd, kQueueFactor },
+                                       { preference.mHomesEnd, order.size(), kIdleFactor } } };
   for (const Round& round : rounds) {
-    for (std::size_t i = 0; i < round.mCandidates; ++i) {
-      const KnownTarget& target = *open[i].mTarget;
-      if (open[i].mLoad + 1 > round.mFactor * target.mEntry.mSlots) {
+    for (std::size_t i = round.mBegin; i < round.mEnd; ++i) {
+      const KnownTarget& target = *order[i].mTarget;
+      if (order[i].mLoad + 1 > round.mFactor * target.mEntry.mSlots) {
         continue;
       }
-      if (admitsCold(target, aContext, aNow)) {
+      if (admitsCold(target, aQuery, aContext, aNow)) {
         result.mTarget = &target;
-        result.mLoad = open[i].mLoad;
+        result.mLoad = order[i].mLoad;
+        result.mPlace = i + 1;
         return result;
       }
       ++result.mColdLimited;
--- a/bulrushrun/steering/TargetPicker.h
+++ b/bulrushrun/steering/TargetPicker.h
@@ -2,10 +2,10 @@
 
 #include "bulrushrun/discovery.h"
 #include "bulrushrun/limits/ColdAdmission.h"
+#include "bulrushrun/routing/ZoneMap.h"
 #include "bulrushrun/steering/TargetStats.h"
 
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -33,20 +33,18 @@
   std::set<TargetId> mTried;
   /// Regions in which it may be served; empty for all.
   std::vector<RegionName> mHomeRegions;
+  /// Requests a second that a cold target of the service may get from all instances together.
+  double mColdBound = 0;
+  /// Time after the first sight of a target for which it is taken for cold.
+  Duration mColdSpan{ 0 };
 };
 
-/// \brief Where this instance stands, and what the fleet's bounds are.
+/// \brief Where this instance stands, and what holds for all its choices.
 struct PickContext
 {
-  ZoneName mZone;
-  /// Region of each zone.
-  std::map<ZoneName, RegionName> mRegions;
+  ZoneMap mZones;
   /// Zones whose targets must get no work.
   std::set<ZoneName> mEvacuated;
-  /// Requests a second that a cold target may get from all instances together.
-  double mColdBound = 0;
-  /// Time after the first sight of a target for which it is taken for cold.
-  Duration mColdSpan{ 0 };
   /// Instances of this zone; zero while unknown, then cold targets get nothing from this one.
   std::size_t mZoneInstances = 0;
   /// Targets first seen before this moment were there at the start, and are not cold for it.
@@ -73,10 +71,19 @@
   /// Cold targets that may not get more from this instance now.
   std::size_t mColdLimited = 0;
   double mLoad = 0;
+  /// Place of the target in the order of preference, from 1; zero when none was picked.
+  std::size_t mPlace = 0;
 };
 
-/// \brief Chooses the target of each send: rendezvous hashing bounded by load for objects that are
-/// handled faster where they are warm, least load otherwise. Pure; knows no host and no socket.
+/// \brief Chooses the target of each send. Pure; knows no host and no socket.
+///
+/// Requests on one object go to the object's home, where it is warm: the winner of weighted
+/// rendezvous hashing, in which targets of the own region weigh as many times more as there are
+/// regions. Even when all regions ask alike, a region with few targets then gets no more than the
+/// average load. A warm target that makes a request wait a little is better than a cold one at
+/// once, and every target over which an object spreads forgets another object for it.
+///
+/// Requests without an object go to the least loaded target, the own zone first.
 class TargetPicker
 {
 public:
@@ -92,31 +99,43 @@
   void forgetUnknown(const TargetTable& aTable);
 
 private:
-  /// A target with its place in the order of preference.
+  /// A target with what orders it.
   struct Candidate
   {
     const KnownTarget* mTarget = nullptr;
     double mLoad = 0;
     double mRank = 0;
-    /// 0 for the caller's zone, 1 for its region, 2 beyond.
-    int mDistance = 0;
+    Distance mDistance = Distance::OtherRegion;
+  };
+
+  /// Candidates in the order of preference, in groups.
+  struct Preference
+  {
+    std::vector<Candidate> mOrder;
+    /// Targets of the own zone that keep a copy of a large object, at the front.
+    std::size_t mNear = 0;
+    /// End of the group in which the object is at home.
+    std::size_t mHomesEnd = 0;
+    /// End of the group that takes over when the homes are full.
+    std::size_t mSparesEnd = 0;
   };
 
-  /// One pass over the first candidates: those that hold less than a factor of their slots.
+  /// One pass over a range of the order: those that hold less than a factor of their slots.
   struct Round
   {
-    std::size_t mCandidates;
+    std::size_t mBegin;
+    std::size_t mEnd;
     double mFactor;
   };
 
   /// Requests a target may hold, in its slots, to take objects that are not its own.
   static constexpr double kIdleFactor = 0.6;
-  /// Requests a target may hold, in its slots, before it is taken for full.
+  /// The same, so that one more request starts at once.
+  static constexpr double kFreeFactor = 1.0;
+  /// The same, so that one more request waits for less time than a cold run takes.
   static constexpr double kFullFactor = 1.7;
   /// The same, for the last resort: targets queue a few requests themselves.
   static constexpr double kQueueFactor = 3.0;
-  /// Targets over which one object may be spread: more of them would each have to warm up.
-  static constexpr std::size_t kSpread = 2;
   /// Share of the targets that may be ejected at most.
   static constexpr double kMaxEjectedShare = 0.5;
 
@@ -124,7 +143,11 @@
                                     const std::vector<const KnownTarget*>& aUsable,
                                     const PickContext& aContext,
                                     TimePoint aNow);
-  bool admitsCold(const KnownTarget& aTarget, const PickContext& aContext, TimePoint aNow);
+  static Preference prefer(const PickQuery& aQuery, std::vector<Candidate> aCandidates);
+  bool admitsCold(const KnownTarget& aTarget,
+                  const PickQuery& aQuery,
+                  const PickContext& aContext,
+                  TimePoint aNow);
 
   std::map<TargetId, TargetStats> mStats;
   ColdAdmission mCold;
--- a/bulrushrun/steering/TargetStats.cpp
+++ b/bulrushrun/steering/TargetStats.cpp
@@ -5,6 +5,9 @@
 void TargetStats::onEnd(SendResult aResult, TimePoint aNow)
 {
   mInFlight = std::max(mInFlight - 1, 0);
+  if (aResult == SendResult::Full) {
+    return;
+  }
   const bool answered = aResult == SendResult::Answered;
   const bool silent = aResult == SendResult::Broken || aResult == SendResult::Unreachable;
   mFailureShare += kFailureWeight * ((answered ? 0.0 : 1.0) - mFailureShare);
--- a/bulrushrun/steering/TargetStats.h
+++ b/bulrushrun/steering/TargetStats.h
@@ -13,14 +13,20 @@
   int mRunning = 0;
   int mWaiting = 0;
   int mSlots = 0;
+
+  /// \brief \returns true when one more request would have to wait.
+  bool isFull() const { return mRunning + mWaiting >= mSlots; }
 };
 
 /// \brief How one send to a target ended, as evidence of its health.
 enum class SendResult
 {
   Answered,
-  /// It declared that it did not run the request.
+  /// It declared that it did not run the request, though it reported room.
   Declined,
+  /// It declared that it did not run the request because it has enough of them: no evidence against
+  /// its health.
+  Full,
   /// An answer of its own that is a failure.
   FailedAnswer,
   /// No answer, or a broken one.
