--- a/bulrushrun/steering/CarrierExchange.h
+++ b/bulrushrun/steering/CarrierExchange.h
@@ -41,10 +41,7 @@
   request.mHeaders = endToEndHeaders(request.mHeaders);
   Wire::stamp(request, std::max(aRequest.mLimit - now, Duration{ 1000 }), target.mId);
   aRequest.mSend->mExchange = mHost.startExchange(
-    target.mEndpoint,
-    std::move(request),
-    aRequest.mRoute->mIdempotent ? ConnectionUse::Pooled : ConnectionUse::Proven,
-    listener(aRequest.mId));
+    target.mEndpoint, std::move(request), ConnectionUse::Pooled, listener(aRequest.mId));
 }
 
 /// An answer whose origin or whose body is in doubt must not reach the caller as a success.
