--- a/bulrushrun/net/HttpClient.cpp
+++ b/bulrushrun/net/HttpClient.cpp
@@ -13,13 +13,22 @@
 
 } // namespace
 
+void HttpClient::onClosed(HttpConnection& aClosed)
+{
+  if (aClosed.forgottenAfter()) {
+    mIdleLimits.onForgotten(aClosed.endpoint(), *aClosed.forgottenAfter(), EventLoop::now());
+  }
+  discard(aClosed);
+}
+
 HttpConnection* HttpClient::takeIdle(const Endpoint& aEndpoint, ConnectionUse aUse)
 {
   const auto found = mIdle.find(aEndpoint);
   while (found != mIdle.end() && !found->second.empty()) {
     HttpConnection* newest = found->second.back();
-    const Duration idle = EventLoop::now() - newest->provenAt();
-    if (idle < newest->idleLimit()) {
+    const TimePoint now = EventLoop::now();
+    const Duration idle = now - newest->provenAt();
+    if (idle < mIdleLimits.limit(aEndpoint, newest->idleLimit(), now)) {
       if (aUse == ConnectionUse::Proven && idle >= kProvenSpan) {
         return nullptr;
       }
@@ -44,7 +53,7 @@
         idle.push_back(&aIdle);
       }
     },
-    [this](HttpConnection& aClosed) { discard(aClosed); });
+    [this](HttpConnection& aClosed) { onClosed(aClosed); });
   if (!connection->isOpen()) {
     return nullptr;
   }
--- a/bulrushrun/net/HttpClient.h
+++ b/bulrushrun/net/HttpClient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bulrushrun/host/Http.h"
+#include "bulrushrun/limits/IdleLimits.h"
 #include "bulrushrun/net/EventLoop.h"
 #include "bulrushrun/net/HttpConnection.h"
 
@@ -36,6 +37,7 @@
 private:
   using Connections = std::list<std::unique_ptr<HttpConnection>>;
 
+  void onClosed(HttpConnection& aClosed);
   HttpConnection* takeIdle(const Endpoint& aEndpoint, ConnectionUse aUse);
   HttpConnection* connect(const Endpoint& aEndpoint);
   void discard(HttpConnection& aConnection);
@@ -43,6 +45,7 @@
   EventLoop& mLoop;
   std::unordered_map<HttpConnection*, std::unique_ptr<HttpConnection>> mConnections;
   std::map<Endpoint, std::vector<HttpConnection*>> mIdle;
+  IdleLimits mIdleLimits;
   std::unordered_map<std::uint64_t, HttpConnection*> mExchanges;
   Connections mDiscarded;
   ExchangeId mLast;
--- a/bulrushrun/net/HttpConnection.cpp
+++ b/bulrushrun/net/HttpConnection.cpp
@@ -110,6 +110,10 @@
   mListener = std::move(aListener);
   mOutput = serialise(aRequest, mEndpoint);
   mHeadRequest = aRequest.mMethod == "HEAD";
+  mIdleBefore.reset();
+  if (mProvenAt != TimePoint{}) {
+    mIdleBefore = EventLoop::now() - mProvenAt;
+  }
   mBusy = true;
   mSent = false;
   mWhole = false;
@@ -151,6 +155,7 @@
 void HttpConnection::fail(ExchangeEnd aEnd, const std::string& aReason)
 {
   closeSocket();
+  mForgottenAfter = mIdleBefore;
   const ExchangeListener listener = std::exchange(mListener, {});
   if (std::exchange(mBusy, false) && listener.mOnEnd) {
     listener.mOnEnd(aEnd, aReason);
@@ -226,6 +231,7 @@
   if (size == 0) {
     return;
   }
+  mIdleBefore.reset();
   const std::size_t used =
     http_parser_execute(&mParser, &mParserSettings, socket->input->bytes, size);
   if (!isOpen()) {
--- a/bulrushrun/net/HttpConnection.h
+++ b/bulrushrun/net/HttpConnection.h
@@ -7,6 +7,7 @@
 #include <http_parser.h>
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -46,6 +47,9 @@
   TimePoint provenAt() const { return mProvenAt; }
   /// \brief \returns how long the other end keeps the connection idle, less a margin.
   Duration idleLimit() const { return mIdleLimit; }
+  /// \brief \returns the idle time before the last exchange, when the connection turned out to be
+  /// lost without any byte of an answer: the other end had forgotten it.
+  std::optional<Duration> forgottenAfter() const { return mForgottenAfter; }
 
 private:
   static void onConnect(h2o_socket_t* aSocket, const char* aError);
@@ -90,6 +94,9 @@
   bool mSkipping = false;
   bool mSkipped = false;
   Duration mIdleLimit;
+  /// Idle time before the exchange in progress; nothing for the first one, or once bytes have come.
+  std::optional<Duration> mIdleBefore;
+  std::optional<Duration> mForgottenAfter;
 };
 
 } // namespace bulrushrun
