A fault soak of real processes; gossip as datagrams instead of nng, whose push socket crashed

bulrush-soak plays seeded runs: real instances between stand-ins of store, targets, callers and operator. From outside it kills, pauses, stops and reloads processes; delays, holds up, silences, resets and refuses connections by a loopback proxy; lets the store refuse, be silent, lose answers, be slow, forget its history or turn one instance away; lets targets lose, cut, fail, shed and delay; drains targets and changes the configuration. It checks: at most one run, true refusals, whole answers of the right request, no work for leaving targets, configurations in force in time and never back, nothing cut without a cause, no process that ends by itself, recovery. Cause, by its stack: nng_send in libnng 1.5.2 (push socket), a race between its own threads when a peer's connection ends during a send. Ruled out: our use from several threads (only the loop calls it).

--- a/bulrushrun/membership/Gossip.h
+++ b/bulrushrun/membership/Gossip.h
@@ -89,7 +89,8 @@
   static constexpr std::size_t kIndirectProbes = 3;
   static constexpr std::size_t kSpreadFanOut = 4;
   static constexpr std::size_t kZoneCheckProbes = 8;
-  static constexpr std::size_t kSyncChunk = 200;
+  /// Members in one message of a whole table: they fit an Ethernet frame.
+  static constexpr std::size_t kSyncChunk = 12;
   static constexpr std::size_t kBytesPerMember = 80;
   static constexpr std::size_t kSyncBytesPerSecond = 2048;
   static constexpr std::uint64_t kTicksPerDeadProbe = 4;
--- a/bulrushrun/net.h
+++ b/bulrushrun/net.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// \file
-/// \brief Umbrella of the net slice: the loop, HTTP by h2o, control messages by nng, the log.
+/// \brief Umbrella of the net slice: the loop, HTTP by h2o, control messages as datagrams, the log.
 
 #include "bulrushrun/net/EventLoop.h"
 #include "bulrushrun/net/SignalWatch.h"
--- a/bulrushrun/net/HttpConnection.cpp
+++ b/bulrushrun/net/HttpConnection.cpp
@@ -1,5 +1,7 @@
 #include "bulrushrun/net/HttpConnection.h"
 
+#include "bulrushrun/net/Listener.h"
+
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -70,10 +72,7 @@
   mParserSettings.on_headers_complete = onHeadersComplete;
   mParserSettings.on_body = onBody;
   mParserSettings.on_message_complete = onMessageComplete;
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(aEndpoint.mPort);
-  address.sin_addr.s_addr = htonl(aEndpoint.mAddress);
+  sockaddr_in address = socketAddress(aEndpoint);
   mSocket = h2o_socket_connect(
     aLoop.raw(), reinterpret_cast<sockaddr*>(&address), sizeof(address), onConnect);
   if (mSocket != nullptr) {
--- a/bulrushrun/net/HttpServer.cpp
+++ b/bulrushrun/net/HttpServer.cpp
@@ -96,12 +96,22 @@
   mConfiguration.max_request_entity_size = aBodyBytes;
 }
 
-void HttpServer::close()
+HttpServer::~HttpServer()
+{
+  closeListener();
+}
+
+void HttpServer::closeListener()
 {
   if (mListener != nullptr) {
     h2o_socket_read_stop(mListener);
     h2o_socket_close(std::exchange(mListener, nullptr));
   }
+}
+
+void HttpServer::close()
+{
+  closeListener();
   h2o_context_request_shutdown(&mContext);
 }
 
--- a/bulrushrun/net/HttpServer.h
+++ b/bulrushrun/net/HttpServer.h
@@ -35,7 +35,8 @@
   HttpServer& operator=(const HttpServer&) = delete;
   HttpServer(HttpServer&&) = delete;
   HttpServer& operator=(HttpServer&&) = delete;
-  ~HttpServer() = default;
+  /// \brief Closes the listening socket. Connections that are open must not be served any more.
+  ~HttpServer();
 
   /// \brief Sets how long a connection may stay idle, and how long a body may be, in bytes.
   void setLimits(Duration aIdle, std::size_t aBodyBytes);
@@ -59,6 +60,7 @@
 
   int handle(h2o_req_t* aRequest);
   void listen(EventLoop& aLoop, Endpoint aEndpoint);
+  void closeListener();
 
   HttpHandlers mHandlers;
   h2o_globalconf_t mConfiguration{};
--- a/bulrushrun/net/Listener.cpp
+++ b/bulrushrun/net/Listener.cpp
@@ -22,25 +22,45 @@
   throw std::system_error(reason, std::generic_category(), "cannot listen on " + aEndpoint.text());
 }
 
-} // namespace
-
-int openListener(const Endpoint& aEndpoint)
+/// \returns a socket of a type, bound to the address.
+int openBound(int aType, const Endpoint& aEndpoint)
 {
-  const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  const int descriptor = ::socket(AF_INET, aType | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
   if (descriptor < 0) {
     fail(descriptor, aEndpoint);
   }
   const int yes = 1;
   ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+  const sockaddr_in address = socketAddress(aEndpoint);
+  if (::bind(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0) {
+    fail(descriptor, aEndpoint);
+  }
+  return descriptor;
+}
+
+} // namespace
+
+sockaddr_in socketAddress(const Endpoint& aEndpoint)
+{
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(aEndpoint.mPort);
   address.sin_addr.s_addr = htonl(aEndpoint.mAddress);
-  if (::bind(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0 ||
-      ::listen(descriptor, kBacklog) != 0) {
+  return address;
+}
+
+int openListener(const Endpoint& aEndpoint)
+{
+  const int descriptor = openBound(SOCK_STREAM, aEndpoint);
+  if (::listen(descriptor, kBacklog) != 0) {
     fail(descriptor, aEndpoint);
   }
   return descriptor;
 }
 
+int openDatagramSocket(const Endpoint& aEndpoint)
+{
+  return openBound(SOCK_DGRAM, aEndpoint);
+}
+
 } // namespace bulrushrun
--- a/bulrushrun/net/Listener.h
+++ b/bulrushrun/net/Listener.h
@@ -2,11 +2,21 @@
 
 #include "bulrushrun/core/Endpoint.h"
 
+#include <netinet/in.h>
+
 namespace bulrushrun {
 
+/// \brief \returns the address as the socket calls take it.
+sockaddr_in socketAddress(const Endpoint& aEndpoint);
+
 /// \brief Opens a listening TCP socket.
 /// \returns its descriptor, which the caller owns
 /// \throws std::system_error naming the address when it can't be bound
 int openListener(const Endpoint& aEndpoint);
 
+/// \brief Opens a UDP socket at an address.
+/// \returns its descriptor, which the caller owns
+/// \throws std::system_error naming the address when it can't be bound
+int openDatagramSocket(const Endpoint& aEndpoint);
+
 } // namespace bulrushrun
--- a/bulrushrun/steering/InstanceFleet.h
+++ b/bulrushrun/steering/InstanceFleet.h
@@ -48,8 +48,12 @@
                Incarnation{ aVersion.value() },
                MemberState::Alive,
                ConfigurationVersion{} };
+  std::vector<Endpoint> seeds = mSettings.mSeeds;
+  for (Endpoint& seed : seeds) {
+    seed.mPort = mSettings.mPeer.mPort;
+  }
   mGossip = std::make_unique<Gossip<HostType>>(
-    mHost, std::move(self), mSettings.mSeeds, mSettings.mPeerKeys, gossipListener());
+    mHost, std::move(self), std::move(seeds), mSettings.mPeerKeys, gossipListener());
   for (const Endpoint& peer : mStoredPeers) {
     mGossip->contact(peer);
   }
--- a/bulrushrun/steering/SteeringSettings.h
+++ b/bulrushrun/steering/SteeringSettings.h
@@ -39,9 +39,10 @@
   Endpoint mMetrics;
   /// For news between instances, over HTTP; the same port on every instance.
   Endpoint mNews;
-  /// For gossip.
+  /// For gossip, over UDP; the same port on every instance.
   Endpoint mPeer;
   Endpoint mStore;
+  /// Instances to ask first. Their ports do not matter: those are the same on every instance.
   std::vector<Endpoint> mSeeds;
   std::vector<std::string> mPeerKeys;
   FleetBounds mBounds;
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -2,7 +2,7 @@
 # Installs every package that building, testing and checking need, on a fresh Debian.
 set -eu
 packages="g++ cmake ninja-build ccache pkg-config clang-format clang-tidy cppcheck \
-  libh2o-evloop-dev libnng-dev libhttp-parser-dev libyaml-cpp-dev libabsl-dev liblog4cxx-dev \
+  libh2o-evloop-dev libhttp-parser-dev libyaml-cpp-dev libabsl-dev liblog4cxx-dev \
   libmsgpack-cxx-dev nlohmann-json3-dev libboost-dev libssl-dev libgtest-dev libbenchmark-dev"
 missing=""
 for package in $packages; do
--- /dev/null
+++ b/soak/Daemon.cpp
@@ -0,0 +1,76 @@
+#include "soak/Daemon.h"
+
+#include "bulrushrun/core/ScopeGuard.h"
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+#include <array>
+#include <csignal>
+#include <system_error>
+#include <utility>
+
+namespace bulrushrun::soak {
+
+Daemon::Daemon(std::string aProgram, std::string aSettings, std::string aLog)
+  : mProgram(std::move(aProgram))
+  , mSettings("--settings=" + aSettings)
+  , mLog(std::move(aLog))
+{
+}
+
+Daemon::~Daemon()
+{
+  if (isRunning()) {
+    signal(SIGKILL);
+    ::waitpid(mProcess, nullptr, 0);
+  }
+}
+
+void Daemon::start()
+{
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawnattr_t attributes;
+  posix_spawnattr_init(&attributes);
+  const ScopeGuard release{ [&] {
+    posix_spawn_file_actions_destroy(&actions);
+    posix_spawnattr_destroy(&attributes);
+  } };
+  constexpr int kMode = 0644;
+  posix_spawn_file_actions_addopen(
+    &actions, STDOUT_FILENO, mLog.c_str(), O_WRONLY | O_CREAT | O_APPEND, kMode);
+  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // The harness blocks the signals that it watches; the program is to start as from a shell.
+  sigset_t none;
+  sigemptyset(&none);
+  posix_spawnattr_setsigmask(&attributes, &none);
+  posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK);
+  std::array<char*, 3> words{ mProgram.data(), mSettings.data(), nullptr };
+  const int failure =
+    ::posix_spawn(&mProcess, mProgram.c_str(), &actions, &attributes, words.data(), environ);
+  if (failure != 0) {
+    mProcess = -1;
+    throw std::system_error(failure, std::generic_category(), "cannot start " + mProgram);
+  }
+}
+
+void Daemon::signal(int aSignal) const
+{
+  if (isRunning()) {
+    ::kill(mProcess, aSignal);
+  }
+}
+
+std::optional<int> Daemon::reap()
+{
+  int status = 0;
+  if (!isRunning() || ::waitpid(mProcess, &status, WNOHANG) != mProcess) {
+    return std::nullopt;
+  }
+  mProcess = -1;
+  return status;
+}
+
+} // namespace bulrushrun::soak
--- /dev/null
+++ b/soak/SoakRun.cpp
@@ -0,0 +1,218 @@
+#include "soak/SoakRun.h"
+
+#include <unistd.h>
+
+#include <csignal>
+#include <fstream>
+#include <utility>
+
+namespace bulrushrun::soak {
+
+namespace {
+
+/// Time for the start of everything, and time at the end in which all must be well again.
+constexpr Duration kStartSpan = std::chrono::seconds(6);
+constexpr Duration kRecoverySpan = std::chrono::seconds(12);
+constexpr Duration kLastSpan = std::chrono::seconds(4);
+constexpr double kServedAtTheEnd = 0.95;
+constexpr Duration kPlanPeriod = std::chrono::milliseconds(2300);
+constexpr Duration kProbePeriod = std::chrono::milliseconds(400);
+constexpr Duration kReapPeriod = std::chrono::milliseconds(50);
+
+constexpr std::size_t kProbeServices = 3;
+constexpr std::size_t kZones = 3;
+
+std::string zoneOf(std::size_t aNumber)
+{
+  return std::string("z") + static_cast<char>('a' + aNumber % kZones);
+}
+
+} // namespace
+
+SoakRun::SoakRun(SoakPlan aPlan)
+  : mPlan(std::move(aPlan))
+  , mRandom(mPlan.mSeed)
+  , mJudge(mPlan.mInstances)
+  , mStore(mLoop, mRandom.next())
+{
+}
+
+/// Addresses of this process only, so that several runs fit on one machine.
+Endpoint SoakRun::endpoint(std::size_t aNumber, std::uint16_t aPort) const
+{
+  const std::uint32_t process = static_cast<std::uint32_t>(::getpid()) & 0x3fffU;
+  return { 0x7f400000U + (process << 8U) + static_cast<std::uint32_t>(aNumber) + 1, aPort };
+}
+
+void SoakRun::addInstance(std::size_t aNumber)
+{
+  Instance instance;
+  instance.mAddress = { endpoint(aNumber, 8001), endpoint(aNumber, 8002), endpoint(aNumber, 7001) };
+  instance.mStoreDoor = endpoint(aNumber, 9000);
+  mStore.open(instance.mStoreDoor);
+  instance.mCallerLink =
+    std::make_unique<ProxyLink>(mLoop, instance.mAddress.mProxy, instance.mAddress.mListen);
+  const std::string stem = mPlan.mFolder + "/n" + std::to_string(aNumber);
+  instance.mSettingsPath = stem + ".yaml";
+  writeSettings(instance, aNumber, "first");
+  instance.mDaemon =
+    std::make_unique<Daemon>(mPlan.mProgram, instance.mSettingsPath, stem + ".log");
+  instance.mDaemon->start();
+  mInstances.push_back(std::move(instance));
+}
+
+void SoakRun::writeSettings(const Instance& aInstance,
+                            std::size_t aNumber,
+                            const std::string& aRemark)
+{
+  std::ofstream file{ aInstance.mSettingsPath };
+  file << "# " << aRemark << "\ninstance: n" << aNumber << "\nzone: " << zoneOf(aNumber)
+       << "\nregions: { za: r, zb: r, zc: q }\nlisten: " << aInstance.mAddress.mListen.text()
+       << "\nlookup: " << aInstance.mAddress.mLookup.text()
+       << "\nreadiness: " << endpoint(aNumber, 8003).text()
+       << "\nmetrics: " << endpoint(aNumber, 8004).text()
+       << "\npeer: " << endpoint(aNumber, 8005).text()
+       << "\nnews: " << endpoint(aNumber, 8006).text() << "\nstore: " << aInstance.mStoreDoor.text()
+       << "\nseeds: [ \"" << endpoint(0, 8005).text() << "\", \"" << endpoint(1, 8005).text()
+       << "\" ]\npeer_keys: [ \"key of a soak\" ]\nbounds: { drain_ms: 2500, "
+          "configuration_apply_ms: 2500, grace_s: 6, retry_ratio: 0.2, retry_window_s: 10, "
+          "retry_slack: 60, cold_factor: 1.5, cold_slack: 5 }\n";
+}
+
+void SoakRun::addTarget(const std::string& aService, double aRunMillis)
+{
+  const std::size_t number = mTargets.size();
+  standins::RegisteredTargetSetup setup;
+  setup.mId = "t" + std::to_string(number);
+  setup.mService = aService;
+  setup.mZone = zoneOf(number);
+  setup.mRunTime = fromSeconds(aRunMillis / 1000);
+  Target target;
+  target.mAddress = endpoint(number + 100, 7000);
+  const Endpoint behind = endpoint(number + 100, 6000);
+  target.mServer = std::make_unique<standins::RegisteredTarget>(
+    mLoop,
+    behind,
+    std::move(setup),
+    mRandom.next(),
+    [this](const std::string& aId, const standins::RegisteredTarget& aTarget) {
+      mJudge.onRun(aId, aTarget, EventLoop::now());
+    });
+  target.mLink = std::make_unique<ProxyLink>(mLoop, target.mAddress, behind);
+  mTargets.push_back(std::move(target));
+  putTarget(mTargets.back());
+}
+
+void SoakRun::putTarget(const Target& aTarget)
+{
+  mStore.put(
+    "servers", aTarget.mServer->setup().mId, aTarget.mServer->registration(aTarget.mAddress));
+}
+
+/// Each version sends the probes to another service.
+void SoakRun::putPlan()
+{
+  ++mVersion;
+  const std::string probes = "probe-" + std::to_string(mVersion % kProbeServices);
+  const auto route =
+    [](const std::string& aName, const std::string& aKind, const std::string& aTo) {
+      return R"({"name":")" + aName + R"(","host":"shop","pathPrefix":"/)" + aName +
+             R"(/","kind":")" + aKind + R"(","timeoutMs":2000,"maxAttempts":2,"sticky":true,)" +
+             R"("service":")" + aTo + R"("})";
+    };
+  const std::string version = "r" + std::to_string(mVersion);
+  mStore.put("op",
+             "config",
+             R"({"version":")" + version + R"(","routes":[)" + route("read", "safe", "work") + "," +
+               route("files", "download", "work") + "," + route("order", "non_idempotent", "work") +
+               "," + route("probe", "safe", probes) +
+               R"(],"services":[{"name":"work","coldStartS":1.0,"coldPerS":20}],"limits":{}})");
+  mJudge.onVersion(mVersion, EventLoop::now());
+  if (EventLoop::now() < mEnd && !mPlan.mCalm) {
+    mLoop.after(kPlanPeriod, [this] { putPlan(); });
+  }
+}
+
+void SoakRun::note(const std::string& aText)
+{
+  const double at = toSeconds(EventLoop::now() - mStarted);
+  std::ofstream{ mPlan.mFolder + "/faults.log", std::ios::app } << at << " " << aText << "\n";
+}
+
+void SoakRun::watchProcesses()
+{
+  for (std::size_t i = 0; i < mInstances.size(); ++i) {
+    Instance& instance = mInstances[i];
+    const std::optional<int> status = instance.mDaemon->reap();
+    if (!status) {
+      continue;
+    }
+    const TimePoint now = EventLoop::now();
+    const std::string end =
+      "instance " + std::to_string(i) + " ended with " + std::to_string(*status);
+    note(end);
+    if (!std::exchange(instance.mEnding, false)) {
+      mJudge.report("by itself: " + end);
+    }
+    mJudge.instance(i).disturb(now + std::chrono::seconds(1));
+    mJudge.onRestart(i);
+    mLoop.after(std::chrono::milliseconds(mRandom.below(1500)),
+                [this, i] { mInstances[i].mDaemon->start(); });
+  }
+  mLoop.after(kReapPeriod, [this] { watchProcesses(); });
+}
+
+void SoakRun::probeAll()
+{
+  for (std::size_t i = 0; i < mInstances.size(); ++i) {
+    mCallers->probe(i);
+  }
+  if (EventLoop::now() < mEnd) {
+    mLoop.after(kProbePeriod, [this] { probeAll(); });
+  }
+}
+
+std::vector<std::string> SoakRun::play()
+{
+  mStarted = EventLoop::now();
+  mFaultsEnd = mStarted + kStartSpan + mPlan.mFaultSpan;
+  mEnd = mFaultsEnd + kRecoverySpan + kLastSpan;
+  for (std::size_t i = 0; i < mPlan.mTargets; ++i) {
+    addTarget("work", 8);
+  }
+  for (std::size_t i = 0; i < kProbeServices; ++i) {
+    addTarget("probe-" + std::to_string(i), 1);
+  }
+  putPlan();
+  std::vector<CallerAddress> addresses;
+  for (std::size_t i = 0; i < mPlan.mInstances; ++i) {
+    addInstance(i);
+    addresses.push_back(mInstances.back().mAddress);
+    mJudge.instance(i).disturb(mStarted + kStartSpan / 2);
+  }
+  mCallers = std::make_unique<Callers>(mLoop, mJudge, addresses, Random{ mRandom.next() });
+  watchProcesses();
+  mLoop.after(kStartSpan / 2, [this] {
+    mCallers->run(mPlan.mRequestsPerSecond, mEnd);
+    probeAll();
+  });
+  if (!mPlan.mCalm) {
+    mLoop.after(kStartSpan, [this] { schedule(); });
+  }
+  mLoop.after(mEnd - mStarted + std::chrono::seconds(4), [this] { mLoop.stop(); });
+  mLoop.run();
+  mJudge.conclude();
+  const double served = mJudge.servedSince(mEnd - kLastSpan);
+  if (served < kServedAtTheEnd) {
+    mJudge.report("not recovered: served share at the end is " + std::to_string(served));
+  }
+  return mJudge.findings();
+}
+
+std::string SoakRun::summary() const
+{
+  return mJudge.summary() + ", served at the end " +
+         std::to_string(mJudge.servedSince(mEnd - kLastSpan));
+}
+
+} // namespace bulrushrun::soak
