Silent targets get no more, and what may be repeated leaves them; ejections are logged

A target of which nothing was heard, with requests in progress, for four times the usual answer time (twice the operator's latency target and 0.8 s at the least) gets no more; requests that may be repeated leave it, out of the retry budget; at the limit the silence counts as evidence. ASilentTarget.CostsNoMoreSendsThanTheRouteAllows.

--- a/bulrushrun/steering/CarrierActions.h
+++ b/bulrushrun/steering/CarrierActions.h
@@ -75,6 +75,7 @@
     query.mColdBound = terms->mColdPerSecond * mView.mColdFactor + mView.mColdSlack;
     query.mColdSpan = terms->mColdSpan;
   }
+  query.mSilence = silence(aRequest);
   return query;
 }
 
@@ -134,6 +135,14 @@
   return found == mLatencies.end() ? Duration{ 0 } : found->second;
 }
 
+template<class HostType, class Wire>
+Duration RequestCarrier<HostType, Wire>::silence(const Request& aRequest) const
+{
+  return std::max({ kSilenceFactor * usualLatency(aRequest.mService),
+                    kSilenceTargets * aRequest.mRoute->mLatencyTarget,
+                    kMinSilence });
+}
+
 template<class HostType, class Wire>
 std::string RequestCarrier<HostType, Wire>::retryAfter(const Request& aRequest)
 {
--- a/bulrushrun/steering/CarrierExchange.h
+++ b/bulrushrun/steering/CarrierExchange.h
@@ -35,15 +35,49 @@
   aRequest.mSend->mTarget = target.mId;
   aRequest.mSend->mStarted = now;
   aRequest.mMachine.apply(RequestEvent::Dispatched);
-  mPicker.stats(target.mId).onSent();
+  mPicker.stats(target.mId).onSent(now);
   ++mCounters.mSends;
   HttpRequest request = aRequest.mRequest;
   request.mHeaders = endToEndHeaders(request.mHeaders);
   Wire::stamp(request, std::max(aRequest.mLimit - now, Duration{ 1000 }), target.mId);
+  if (aRequest.mRoute->mIdempotent) {
+    const RequestId id = aRequest.mId;
+    const int sends = ++aRequest.mDispatches;
+    mHost.after(silence(aRequest), [this, id, sends] { onSilence(id, sends); });
+  }
   aRequest.mSend->mExchange = mHost.startExchange(
     target.mEndpoint, std::move(request), ConnectionUse::Pooled, listener(aRequest.mId));
 }
 
+/// Nothing came back for long, neither to this request nor to others at the same target: it may be
+/// gone without a word. The request goes elsewhere, as far as it may be repeated.
+template<class HostType, class Wire>
+void RequestCarrier<HostType, Wire>::onSilence(RequestId aId, int aDispatch)
+{
+  Request* request = find(aId);
+  if (request == nullptr || !request->mSend || request->mDispatches != aDispatch ||
+      request->mMachine.state() != RequestState::Sending || request->mSend->mHead) {
+    return;
+  }
+  const TimePoint now = mHost.now();
+  if (!isTargetSilent(*request)) {
+    return;
+  }
+  // The send that is given up counts, too.
+  ++request->mSends;
+  if (!mayRepeat(*request)) {
+    --request->mSends;
+    return;
+  }
+  mHost.abortExchange(request->mSend->mExchange);
+  request->mReason = "the target is silent";
+  judgeTarget(*request, SendResult::Broken);
+  logFailedSend(*request, now - request->mSend->mStarted);
+  ++mCounters.mRepeats;
+  request->mMachine.apply(RequestEvent::ExchangeBroken);
+  dispatch(*request);
+}
+
 /// An answer whose origin or whose body is in doubt must not reach the caller as a success.
 template<class HostType, class Wire>
 bool RequestCarrier<HostType, Wire>::isTrustworthy(const TargetSend& aSend) const
@@ -63,6 +97,7 @@
   TargetSend& send = *request->mSend;
   send.mHead = aHead;
   send.mFacts = Wire::readAnswer(aHead);
+  mPicker.stats(send.mTarget).onHeard(mHost.now());
   if (send.mFacts.mLoad) {
     mPicker.stats(send.mTarget).onReport(*send.mFacts.mLoad, mHost.now());
   }
@@ -121,7 +156,6 @@
   const TimePoint now = mHost.now();
   TargetSend& send = *request->mSend;
   const Duration took = now - send.mStarted;
-  TargetStats& stats = mPicker.stats(send.mTarget);
   if (aEnd == ExchangeEnd::Whole) {
     ++request->mSends;
     onWhole(*request);
@@ -129,12 +163,34 @@
   }
   const bool unreached = aEnd == ExchangeEnd::NotSent;
   ++(unreached ? request->mUnreached : request->mSends);
-  stats.onEnd(unreached ? SendResult::Unreachable : SendResult::Broken, now);
+  judgeTarget(*request, unreached ? SendResult::Unreachable : SendResult::Broken);
   request->mReason = aReason;
   logFailedSend(*request, took);
   apply(aId, unreached ? RequestEvent::ConnectFailed : RequestEvent::ExchangeBroken);
 }
 
+/// Takes the end of a send as evidence of the target's health.
+template<class HostType, class Wire>
+void RequestCarrier<HostType, Wire>::judgeTarget(const Request& aRequest, SendResult aResult)
+{
+  const TimePoint now = mHost.now();
+  TargetStats& stats = mPicker.stats(aRequest.mSend->mTarget);
+  const std::string text = "target=" + aRequest.mSend->mTarget.text() +
+                           " service=" + aRequest.mService.text() + " id=" + aRequest.mFacts.mId;
+  switch (stats.onEnd(aResult, now)) {
+    case TargetStats::Change::Ejected:
+      mHost.log(events::kTargetEjected,
+                text + " result=" + resultText(aResult) +
+                  " for_ms=" + std::to_string(toMillis(stats.ejectedUntil() - now)));
+      break;
+    case TargetStats::Change::Back:
+      mHost.log(events::kTargetBack, text);
+      break;
+    case TargetStats::Change::Nothing:
+      break;
+  }
+}
+
 template<class HostType, class Wire>
 void RequestCarrier<HostType, Wire>::logFailedSend(const Request& aRequest, Duration aTook)
 {
@@ -151,25 +207,24 @@
   const RequestId id = aRequest.mId;
   TargetSend& send = *aRequest.mSend;
   const Duration took = now - send.mStarted;
-  TargetStats& stats = mPicker.stats(send.mTarget);
   const int status = send.mHead->mStatus;
   if (send.mFacts.mDeclined) {
     const bool full = send.mFacts.mLoad && send.mFacts.mLoad->isFull();
-    stats.onEnd(full ? SendResult::Full : SendResult::Declined, now);
+    judgeTarget(aRequest, full ? SendResult::Full : SendResult::Declined);
     aRequest.mReason = "the target declined with " + std::to_string(status);
     logFailedSend(aRequest, took);
     apply(id, RequestEvent::TargetDeclined);
     return;
   }
   if (!aRequest.mStreaming && !isTrustworthy(send)) {
-    stats.onEnd(SendResult::Broken, now);
+    judgeTarget(aRequest, SendResult::Broken);
     aRequest.mReason = "the answer is not the target's own";
     logFailedSend(aRequest, took);
     apply(id, RequestEvent::ExchangeBroken);
     return;
   }
   const bool failed = status >= 500;
-  stats.onEnd(failed ? SendResult::FailedAnswer : SendResult::Answered, now);
+  judgeTarget(aRequest, failed ? SendResult::FailedAnswer : SendResult::Answered);
   if (!failed) {
     Duration& usual = mLatencies[aRequest.mService];
     constexpr int kSmoothing = 16;
@@ -191,12 +246,25 @@
   apply(id, RequestEvent::AnswerComplete);
 }
 
+/// \returns true when neither this request nor others at its target heard anything for long.
+template<class HostType, class Wire>
+bool RequestCarrier<HostType, Wire>::isTargetSilent(const Request& aRequest)
+{
+  return !aRequest.mSend->mHead &&
+         mPicker.stats(aRequest.mSend->mTarget).isSilent(silence(aRequest), mHost.now());
+}
+
 template<class HostType, class Wire>
 void RequestCarrier<HostType, Wire>::dropSend(Request& aRequest)
 {
-  if (aRequest.mSend && (aRequest.mMachine.state() == RequestState::Sending ||
-                         aRequest.mMachine.state() == RequestState::Answering)) {
-    mHost.abortExchange(aRequest.mSend->mExchange);
+  const RequestState state = aRequest.mMachine.state();
+  if (!aRequest.mSend || (state != RequestState::Sending && state != RequestState::Answering)) {
+    return;
+  }
+  mHost.abortExchange(aRequest.mSend->mExchange);
+  if (isTargetSilent(aRequest)) {
+    judgeTarget(aRequest, SendResult::Broken);
+  } else {
     mPicker.stats(aRequest.mSend->mTarget).onCancelled();
   }
 }
--- a/bulrushrun/steering/RequestCarrier.h
+++ b/bulrushrun/steering/RequestCarrier.h
@@ -92,6 +92,12 @@
   /// Retry-After: part of the usual answer time, spread so that returns do not come together.
   static constexpr Duration kMinRetryAfter = std::chrono::milliseconds(100);
   static constexpr Duration kMaxRetryAfter = std::chrono::milliseconds(1500);
+  /// A target is taken for silent after this many times the usual answer time, or the time that the
+  /// operator aims at: more than a cold run behind a queue takes, as a rule; and not before a span
+  /// that covers a lost packet.
+  static constexpr int kSilenceFactor = 4;
+  static constexpr int kSilenceTargets = 2;
+  static constexpr Duration kMinSilence = std::chrono::milliseconds(800);
   /// Least time that a repeat needs, as part of the usual answer time.
   static constexpr double kLeastRepeatShare = 0.5;
 
@@ -119,6 +125,8 @@
   void onEnd(RequestId aId, ExchangeEnd aEnd, const std::string& aReason);
   void onWhole(Request& aRequest);
   void onLimit(RequestId aId);
+  void onSilence(RequestId aId, int aDispatch);
+  void judgeTarget(const Request& aRequest, SendResult aResult);
   void logFailedSend(const Request& aRequest, Duration aTook);
   void startStreaming(Request& aRequest);
   void dropSend(Request& aRequest);
@@ -129,6 +137,8 @@
   PickQuery queryFor(const Request& aRequest) const;
   std::string retryAfter(const Request& aRequest);
   Duration usualLatency(const ServiceName& aService) const;
+  Duration silence(const Request& aRequest) const;
+  bool isTargetSilent(const Request& aRequest);
 
   HostType& mHost;
   SteeringView& mView;
--- a/bulrushrun/steering/SteeredRequest.h
+++ b/bulrushrun/steering/SteeredRequest.h
@@ -48,6 +48,8 @@
   std::set<TargetId> mTried;
   /// Sends that reached a target.
   int mSends = 0;
+  /// Sends that were begun, whatever became of them.
+  int mDispatches = 0;
   /// Sends for which no connection came about.
   int mUnreached = 0;
   std::optional<TargetSend> mSend;
--- a/bulrushrun/steering/TargetPicker.cpp
+++ b/bulrushrun/steering/TargetPicker.cpp
@@ -50,7 +50,8 @@
       candidate.mRank = -candidate.mLoad / entry.mSlots;
     }
     const bool proving = seen.isOnProbation() && seen.inFlight() > 0;
-    (seen.isEjected(aNow) || proving ? ejected : open).push_back(candidate);
+    const bool avoided = seen.isEjected(aNow) || proving || seen.isSilent(aQuery.mSilence, aNow);
+    (avoided ? ejected : open).push_back(candidate);
   }
   const double most = kMaxEjectedShare * static_cast<double>(open.size() + ejected.size());
   if (static_cast<double>(ejected.size()) > most) {
--- a/bulrushrun/steering/TargetPicker.h
+++ b/bulrushrun/steering/TargetPicker.h
@@ -37,6 +37,8 @@
   double mColdBound = 0;
   /// Time after the first sight of a target for which it is taken for cold.
   Duration mColdSpan{ 0 };
+  /// A target of which nothing was heard for this long, with requests in progress, gets no more.
+  Duration mSilence = Duration::max();
 };
 
 /// \brief Where this instance stands, and what holds for all its choices.
--- a/bulrushrun/steering/TargetStats.cpp
+++ b/bulrushrun/steering/TargetStats.cpp
@@ -1,29 +1,33 @@
 #include "bulrushrun/steering/TargetStats.h"
 
+#include <utility>
+
 namespace bulrushrun {
 
-void TargetStats::onEnd(SendResult aResult, TimePoint aNow)
+TargetStats::Change TargetStats::onEnd(SendResult aResult, TimePoint aNow)
 {
   mInFlight = std::max(mInFlight - 1, 0);
+  mHeardAt = aNow;
   if (aResult == SendResult::Full) {
-    return;
+    return Change::Nothing;
   }
   const bool answered = aResult == SendResult::Answered;
   const bool silent = aResult == SendResult::Broken || aResult == SendResult::Unreachable;
   mFailureShare += kFailureWeight * ((answered ? 0.0 : 1.0) - mFailureShare);
   if (answered) {
     mConsecutive = 0;
-    mProbation = false;
     if (mFailureShare < kMaxFailureShare / 4) {
       mEjection = kMinEjection;
     }
-    return;
+    return std::exchange(mProbation, false) ? Change::Back : Change::Nothing;
   }
   mConsecutive += silent ? 1 : 0;
   const bool outlier = mConsecutive >= kMaxConsecutive || mFailureShare > kMaxFailureShare;
   if (!isEjected(aNow) && (outlier || (mProbation && silent))) {
     eject(aNow);
+    return Change::Ejected;
   }
+  return Change::Nothing;
 }
 
 void TargetStats::eject(TimePoint aNow)
--- a/bulrushrun/steering/TargetStats.h
+++ b/bulrushrun/steering/TargetStats.h
@@ -35,6 +35,26 @@
   Unreachable,
 };
 
+/// \brief \returns the name of a result, for the log.
+constexpr const char* resultText(SendResult aResult)
+{
+  switch (aResult) {
+    case SendResult::Answered:
+      return "answered";
+    case SendResult::Declined:
+      return "declined";
+    case SendResult::Full:
+      return "full";
+    case SendResult::FailedAnswer:
+      return "failed-answer";
+    case SendResult::Broken:
+      return "broken";
+    case SendResult::Unreachable:
+      break;
+  }
+  return "unreachable";
+}
+
 /// \brief What this instance observed of one target: load and health. Pure.
 ///
 /// Outlier ejection: consecutive failures, or a high share of failures, take the target out for a
@@ -43,9 +63,25 @@
 {
 public:
   /// \brief One more request is in progress there.
-  void onSent() { ++mInFlight; }
+  void onSent(TimePoint aNow)
+  {
+    mHeardAt = mInFlight == 0 ? aNow : mHeardAt;
+    ++mInFlight;
+  }
+  /// \brief An answer began.
+  void onHeard(TimePoint aNow) { mHeardAt = aNow; }
+  /// \brief What the end of a request changed in what is believed of the target, for the log.
+  enum class Change
+  {
+    Nothing,
+    /// It gets no work until ejectedUntil().
+    Ejected,
+    /// It answered again after an ejection.
+    Back,
+  };
+
   /// \brief A request ended.
-  void onEnd(SendResult aResult, TimePoint aNow);
+  Change onEnd(SendResult aResult, TimePoint aNow);
   /// \brief A request was given up before it ended.
   void onCancelled() { mInFlight = std::max(mInFlight - 1, 0); }
   /// \brief Takes a load that the target reported.
@@ -55,8 +91,15 @@
   int inFlight() const { return mInFlight; }
   /// \brief \returns the estimated requests in progress there, those of other instances included.
   double load(TimePoint aNow) const;
+  /// \brief \returns true when requests are in progress there and nothing was heard for a span.
+  bool isSilent(Duration aSpan, TimePoint aNow) const
+  {
+    return mInFlight > 0 && aNow - mHeardAt >= aSpan;
+  }
   /// \brief \returns true while it must not get work.
   bool isEjected(TimePoint aNow) const { return aNow < mEjectedUntil; }
+  /// \brief \returns the end of the last ejection.
+  TimePoint ejectedUntil() const { return mEjectedUntil; }
   /// \brief \returns true when it came back from an ejection and has not answered since.
   bool isOnProbation() const { return mProbation; }
 
@@ -75,6 +118,8 @@
   void eject(TimePoint aNow);
 
   int mInFlight = 0;
+  /// When anything was heard of it, or it got the first of its requests in progress.
+  TimePoint mHeardAt;
   double mForeign = 0;
   TimePoint mReportedAt;
   int mConsecutive = 0;
--- a/bulrushrun/steering/tests/RequestCarrierTest.cpp
+++ b/bulrushrun/steering/tests/RequestCarrierTest.cpp
@@ -5,15 +5,16 @@
 namespace bulrushrun::testing_world {
 namespace {
 
-/// Story: one instance, two targets, requests that go well and badly.
+/// Story: one instance, three targets, requests that go well and badly.
 class OneInstance : public ::testing::Test
 {
 protected:
-  void start(const std::string& aKind)
+  void start(const std::string& aKind, const std::string& aExtra = "")
   {
-    mWorld.putPlan(1, aKind);
+    mWorld.putPlan(1, aKind, aExtra);
     mWorld.putTarget("t1");
     mWorld.putTarget("t2");
+    mWorld.putTarget("t3");
     mWorld.add("n1", "za").start();
     mWorld.run(std::chrono::seconds(2));
   }
@@ -150,6 +151,72 @@
   EXPECT_TRUE(mWorld.atTargets().empty()) << "the target is told by the closed connection";
 }
 
+/// The pattern of a target that is gone without a word: its registration lapses only seconds later.
+class ASilentTarget : public OneInstance
+{
+protected:
+  /// Requests pass often enough for the retry budget to allow a repeat.
+  void warm()
+  {
+    for (int i = 0; i < 20; ++i) {
+      mWorld.call("n1", "warm-" + std::to_string(i), "object");
+      mWorld.answerWell(mWorld.atTargets().front());
+    }
+  }
+};
+
+TEST_F(ASilentTarget, LosesTheRequestsThatMayBeRepeated)
+{
+  start("safe", R"(,"targetLatencyMs":300)");
+  warm();
+  const std::shared_ptr<KeptResponder> caller = mWorld.call("n1", "id-1", "object");
+  const std::string silent = targetOf(mWorld.atTargets().front());
+  mWorld.run(std::chrono::milliseconds(900));
+  ASSERT_EQ(mWorld.atTargets().size(), 1U);
+  EXPECT_NE(targetOf(mWorld.atTargets().front()), silent);
+  mWorld.answerWell(mWorld.atTargets().front());
+  EXPECT_EQ(caller->mHead.mStatus, 200);
+}
+
+TEST_F(ASilentTarget, GetsNothingMoreWhileItIsSilent)
+{
+  start("non_idempotent", R"(,"targetLatencyMs":300)");
+  warm();
+  mWorld.call("n1", "id-1", "object");
+  const std::string silent = targetOf(mWorld.atTargets().front());
+  mWorld.run(std::chrono::milliseconds(900));
+  mWorld.call("n1", "id-2", "object");
+  ASSERT_EQ(mWorld.atTargets().size(), 2U) << "the first one may not be repeated";
+  EXPECT_NE(targetOf(mWorld.atTargets().back()), silent);
+}
+
+TEST_F(ASilentTarget, IsNotOneThatAnswersOthers)
+{
+  start("safe", R"(,"targetLatencyMs":300)");
+  warm();
+  mWorld.call("n1", "id-1", "object");
+  mWorld.run(std::chrono::milliseconds(500));
+  mWorld.call("n1", "id-2", "object");
+  mWorld.answerWell(mWorld.atTargets().back());
+  mWorld.run(std::chrono::milliseconds(500));
+  EXPECT_EQ(mWorld.atTargets().size(), 1U) << "it is slow with one of them, as a cold run is";
+}
+
+TEST_F(ASilentTarget, CostsNoMoreSendsThanTheRouteAllows)
+{
+  start("safe", R"(,"targetLatencyMs":300)");
+  warm();
+  mWorld.call("n1", "id-1", "object");
+  std::set<std::string> targets;
+  for (int i = 0; i < 18; ++i) {
+    for (const ExchangeId exchange : mWorld.atTargets()) {
+      targets.insert(targetOf(exchange));
+    }
+    mWorld.run(std::chrono::milliseconds(100));
+  }
+  EXPECT_LE(targets.size(), 2U) << "three targets, and two attempts at the most";
+}
+
 class ACallerThatLeaves : public OneInstance
 {};
 
--- a/bulrushrun/steering/tests/TargetPickerTest.cpp
+++ b/bulrushrun/steering/tests/TargetPickerTest.cpp
@@ -47,7 +47,7 @@
   void send(const TargetId& aTarget, int aCount = 1)
   {
     for (int i = 0; i < aCount; ++i) {
-      mPicker.stats(aTarget).onSent();
+      mPicker.stats(aTarget).onSent(mNow);
     }
   }
 
@@ -200,7 +200,7 @@
   void fail(const TargetId& aTarget, SendResult aResult, int aTimes)
   {
     for (int i = 0; i < aTimes; ++i) {
-      mPicker.stats(aTarget).onSent();
+      mPicker.stats(aTarget).onSent(mNow);
       mPicker.stats(aTarget).onEnd(aResult, mNow);
     }
   }
--- a/soak/Callers.cpp
+++ b/soak/Callers.cpp
@@ -27,10 +27,9 @@
 {
 }
 
-void Callers::run(double aPerSecond, TimePoint aUntil)
+void Callers::run(double aPerSecond)
 {
   mPerSecond = aPerSecond;
-  mUntil = aUntil;
   lookUp();
   next();
 }
@@ -64,14 +63,14 @@
                             ConnectionUse::Pooled,
                             std::move(listener));
   mLoop.after(kLookUpLimit, [this, exchange] { mClient.abort(*exchange); });
-  if (EventLoop::now() < mUntil) {
+  if (!mStopped) {
     mLoop.after(kLookUpPeriod, [this] { lookUp(); });
   }
 }
 
 void Callers::next()
 {
-  if (EventLoop::now() >= mUntil) {
+  if (mStopped) {
     return;
   }
   mLoop.after(fromSeconds(mRandom.exponential(1 / mPerSecond)), [this] { next(); });
--- a/soak/Callers.h
+++ b/soak/Callers.h
@@ -27,12 +27,11 @@
 public:
   Callers(EventLoop& aLoop, Judge& aJudge, std::vector<CallerAddress> aInstances, Random aRandom);
 
-  /// \brief Sends requests at a rate until a moment.
-  void run(double aPerSecond, TimePoint aUntil);
+  /// \brief Sends requests at a rate until stop().
+  void run(double aPerSecond);
+  void stop() { mStopped = true; }
   /// \brief Asks an instance which configuration is in force.
   void probe(std::size_t aInstance);
-  /// \brief \returns attempts without an end.
-  std::size_t open() const { return mExchanges.size(); }
 
 private:
   static constexpr Duration kPatience = std::chrono::milliseconds(2500);
@@ -51,7 +50,7 @@
   std::vector<std::size_t> mUsable;
   std::map<std::string, ExchangeId> mExchanges;
   double mPerSecond = 0;
-  TimePoint mUntil;
+  bool mStopped = false;
 };
 
 } // namespace bulrushrun::soak
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -2,7 +2,7 @@
 
 #include <unistd.h>
 
-#include <csignal>
+#include <algorithm>
 #include <fstream>
 #include <utility>
 
@@ -14,10 +14,14 @@
 constexpr Duration kStartSpan = std::chrono::seconds(6);
 constexpr Duration kRecoverySpan = std::chrono::seconds(12);
 constexpr Duration kLastSpan = std::chrono::seconds(4);
+/// Time for the last answers.
+constexpr Duration kAfterEnd = std::chrono::seconds(4);
 constexpr double kServedAtTheEnd = 0.95;
 constexpr Duration kPlanPeriod = std::chrono::milliseconds(2300);
 constexpr Duration kProbePeriod = std::chrono::milliseconds(400);
 constexpr Duration kReapPeriod = std::chrono::milliseconds(50);
+/// A timer that is later than this shows that the whole machine stood still, or nearly.
+constexpr Duration kStandstill = std::chrono::milliseconds(500);
 
 constexpr std::size_t kProbeServices = 3;
 constexpr std::size_t kZones = 3;
@@ -139,8 +143,38 @@
   std::ofstream{ mPlan.mFolder + "/faults.log", std::ios::app } << at << " " << aText << "\n";
 }
 
+/// Bounds in time hold again only after a while, and recovery begins anew.
+void SoakRun::watchMachine()
+{
+  const TimePoint now = EventLoop::now();
+  const Duration late = now - std::exchange(mWatchedAt, now) - kReapPeriod;
+  if (late < kStandstill) {
+    return;
+  }
+  note("the machine stood still for " + std::to_string(toMillis(late)) + " ms");
+  ++mStandstills;
+  for (std::size_t i = 0; i < mInstances.size(); ++i) {
+    mJudge.instance(i).disturb(now);
+  }
+  mJudge.store().disturb(now);
+  mJudge.targets().disturb(now);
+  mEnd = std::max(mEnd, now + kRecoverySpan + kLastSpan);
+}
+
+void SoakRun::stopAtTheEnd()
+{
+  const TimePoint now = EventLoop::now();
+  if (now < mEnd) {
+    mLoop.after(mEnd - now, [this] { stopAtTheEnd(); });
+    return;
+  }
+  mCallers->stop();
+  mLoop.after(kAfterEnd, [this] { mLoop.stop(); });
+}
+
 void SoakRun::watchProcesses()
 {
+  watchMachine();
   for (std::size_t i = 0; i < mInstances.size(); ++i) {
     Instance& instance = mInstances[i];
     const std::optional<int> status = instance.mDaemon->reap();
@@ -174,7 +208,7 @@
 
 std::vector<std::string> SoakRun::play()
 {
-  mStarted = EventLoop::now();
+  mStarted = mWatchedAt = EventLoop::now();
   mFaultsEnd = mStarted + kStartSpan + mPlan.mFaultSpan;
   mEnd = mFaultsEnd + kRecoverySpan + kLastSpan;
   for (std::size_t i = 0; i < mPlan.mTargets; ++i) {
@@ -193,13 +227,13 @@
   mCallers = std::make_unique<Callers>(mLoop, mJudge, addresses, Random{ mRandom.next() });
   watchProcesses();
   mLoop.after(kStartSpan / 2, [this] {
-    mCallers->run(mPlan.mRequestsPerSecond, mEnd);
+    mCallers->run(mPlan.mRequestsPerSecond);
     probeAll();
   });
   if (!mPlan.mCalm) {
     mLoop.after(kStartSpan, [this] { schedule(); });
   }
-  mLoop.after(mEnd - mStarted + std::chrono::seconds(4), [this] { mLoop.stop(); });
+  stopAtTheEnd();
   mLoop.run();
   mJudge.conclude();
   const double served = mJudge.servedSince(mEnd - kLastSpan);
@@ -212,7 +246,8 @@
 std::string SoakRun::summary() const
 {
   return mJudge.summary() + ", served at the end " +
-         std::to_string(mJudge.servedSince(mEnd - kLastSpan));
+         std::to_string(mJudge.servedSince(mEnd - kLastSpan)) + ", standstills of the machine " +
+         std::to_string(mStandstills);
 }
 
 } // namespace bulrushrun::soak
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -76,6 +76,8 @@
   void putTarget(const Target& aTarget);
   void putPlan();
   void watchProcesses();
+  void watchMachine();
+  void stopAtTheEnd();
   void probeAll();
   void schedule();
   void disturb();
@@ -103,7 +105,8 @@
   TimePoint mStarted;
   TimePoint mFaultsEnd;
   TimePoint mEnd;
-  std::vector<std::string> mNotes;
+  TimePoint mWatchedAt;
+  int mStandstills = 0;
 };
 
 } // namespace bulrushrun::soak
