--- a/ctl/Commands.h
+++ b/ctl/Commands.h
@@ -34,6 +34,8 @@
   std::string mTenant;
   std::string mService;
   std::string mClass;
+  /// Output for programs instead of people.
+  bool mJson = false;
 };
 
 /// \brief Runs one command: the words of the command line behind the program's name.
--- a/ctl/main.cpp
+++ b/ctl/main.cpp
@@ -17,6 +17,7 @@
 ABSL_FLAG(std::int64_t, version, -1, "version to show or to return to");
 ABSL_FLAG(std::string, tenant, "", "tenant to explain");
 ABSL_FLAG(std::string, service, "", "service to explain");
+ABSL_FLAG(std::string, output, "text", "text or json; json for trace and config history");
 ABSL_FLAG(std::string, class, "", "class to explain; the first one where it is not given");
 
 int main(int aCount, char** aArguments)
@@ -27,6 +28,7 @@
     "  bulrushctl config validate|diff|apply FILE, config show|history|rollback\n"
     "  bulrushctl exception list, exception add|remove target|zone NAME\n"
     "  bulrushctl settings validate FILE, status, explain, drain\n"
+    "  bulrushctl trace REQUEST-ID LOG...: what the instances' logs say of one request\n"
     "exit codes: 0 done, 1 failed, 2 bad input, 3 another change came first, 4 unresolved");
   const std::vector<char*> words = absl::ParseCommandLine(aCount, aArguments);
   std::signal(SIGPIPE, SIG_IGN);
@@ -45,6 +47,12 @@
   options.mTenant = absl::GetFlag(FLAGS_tenant);
   options.mService = absl::GetFlag(FLAGS_service);
   options.mClass = absl::GetFlag(FLAGS_class);
+  const std::string output = absl::GetFlag(FLAGS_output);
+  if (output != "text" && output != "json") {
+    std::cerr << "--output must be text or json\n";
+    return static_cast<int>(ExitCode::BadInput);
+  }
+  options.mJson = output == "json";
   if (!parseEndpoint(options.mAddress)) {
     std::cerr << "--address must be a.b.c.d:port\n";
     return static_cast<int>(ExitCode::BadInput);
--- /dev/null
+++ b/ctl/tests/TraceTest.cpp
@@ -0,0 +1,103 @@
+#include "ctl/Trace.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+
+namespace bulrushrun {
+namespace {
+
+/// Story: an operator has the logs of a day with trouble, and the ids of three unhappy callers.
+class AnOperator : public testing::Test
+{
+protected:
+  static Trace trace(const std::string& aId)
+  {
+    std::vector<LogLine> lines;
+    std::ifstream file{ std::string(SOURCE_DIR) + "/ctl/tests/walks.log" };
+    for (std::string text; std::getline(file, text);) {
+      const std::optional<LogLine> line = parseLogLine(text);
+      EXPECT_TRUE(line) << text;
+      lines.push_back(*line);
+    }
+    Trace trace{ aId };
+    for (const LogLine& line : lines) {
+      trace.findOwn(line);
+    }
+    for (const LogLine& line : lines) {
+      trace.findContext(line);
+    }
+    return trace;
+  }
+  static bool says(const Trace& aTrace, const std::string& aPart)
+  {
+    return aTrace.text().find(aPart) != std::string::npos;
+  }
+};
+
+TEST_F(AnOperator, LearnsThatARequestWasRefusedBecauseIdleTargetsWereCold)
+{
+  const Trace refused = trace("2f7ccd23a7c363d1");
+  ASSERT_TRUE(refused.isFound());
+  EXPECT_TRUE(says(refused, "edge-kar-depot-2 ended it as 'refused' with status 503"));
+  EXPECT_TRUE(says(refused, "because it is cold"));
+  EXPECT_TRUE(says(refused, "BR-1002 instance-ready version=25")) << "the state that it decided in";
+}
+
+TEST_F(AnOperator, LearnsThatALateAnswerWaitedForASilentTargetFirst)
+{
+  const Trace late = trace("3e30d9f307fe7fb8");
+  EXPECT_TRUE(says(late, "ended it as 'answered' with status 200 after 1640 ms; 2 sends"));
+  EXPECT_TRUE(says(late, "A send to i-0e911944a9 ended after 800 ms: the target is silent."));
+}
+
+TEST_F(AnOperator, LearnsThatATargetBrokeOffWhatMayNotBeRepeated)
+{
+  const Trace failed = trace("07b63fa76f4ad93d");
+  EXPECT_TRUE(says(failed, "with status 502"));
+  EXPECT_TRUE(says(failed,
+                   "A target may have run it, and no whole answer came: "
+                   "the connection broke before the answer ended."));
+}
+
+TEST_F(AnOperator, SeesTheRequestsOwnLinesMarkedAndInOrderOfTime)
+{
+  const nlohmann::json late = nlohmann::json::parse(trace("3e30d9f307fe7fb8").json());
+  std::string before;
+  int own = 0;
+  for (const nlohmann::json& line : late["lines"]) {
+    EXPECT_GE(line["time"].get<std::string>(), before);
+    before = line["time"].get<std::string>();
+    own += line["of_request"].get<bool>() ? 1 : 0;
+  }
+  EXPECT_EQ(own, 2) << "one failed send and the end";
+}
+
+TEST_F(AnOperator, IsToldWhenNoLogNamesTheId)
+{
+  EXPECT_FALSE(trace("no-such-id").isFound());
+}
+
+/// Story: lines as collectors pass them on.
+TEST(ALogLine, IsReadBehindAPrefixAndWithQuotedFields)
+{
+  const std::optional<LogLine> line =
+    parseLogLine("  12.5 host 2026-12-04 08:15:30.123 INFO  n1 BR-8003 send-failed id=a "
+                 "reason=\"no answer: it broke\" ms=7");
+  ASSERT_TRUE(line);
+  EXPECT_EQ(line->mInstance, "n1");
+  EXPECT_EQ(line->mEvent, 8003);
+  EXPECT_EQ(line->field("reason"), "no answer: it broke");
+  EXPECT_EQ(line->number("ms"), 7);
+}
+
+TEST(ALogLine, IsNotWhatHasNoEventOrNoTime)
+{
+  EXPECT_FALSE(parseLogLine("2026-12-04 08:15:30.123 INFO  n1 hello"));
+  EXPECT_FALSE(parseLogLine("n1 BR-8003 send-failed id=a"));
+  EXPECT_FALSE(parseLogLine(""));
+}
+
+} // namespace
+} // namespace bulrushrun
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -10,12 +10,12 @@
 echo $sources | tr ' ' '\n' | xargs -P "$(nproc)" -n 1 clang-tidy --quiet -p build 2> /dev/null
 cppcheck --quiet --library=googletest --std=c++20 --language=c++ --error-exitcode=1 --inline-suppr -I . \
   --enable=warning,performance,portability --suppress=missingIncludeSystem \
-  -j "$(nproc)" bulrushrun platform daemon ctl load scenario standins bench
+  -j "$(nproc)" bulrushrun platform daemon ctl load scenario soak standins bench
 # The platform's names are translated at the boundary: none of them outside platform/, stand-ins and tests.
 names='X-(Request-Id|Request-Timeout-Ms|Target-Instance|Not-Executed|Response-Signature|Affinity-Key'
 names="$names|Server-Load|Instance-Id|Cold-Remaining)|pathPrefix|rows-(tx|get|feed|parts)|blob-(put|get|drop|list)"
 names="$names|coldRemainingMs|targetLatencyMs|trafficSplit"
-leaks=$(git grep -nE "$names" -- '*.h' '*.cpp' ':!platform/' ':!standins/' | grep -v '/tests/' || true)
+leaks=$(git grep -nE "$names" -- '*.h' '*.cpp' ':!platform/' ':!standins/' ':!soak/' ':!ctl/tests/' | grep -v '/tests/' || true)
 if [ -n "$leaks" ]; then
   echo "names of the platform outside platform/:"
   echo "$leaks"
--- a/soak/Daemon.cpp
+++ b/soak/Daemon.cpp
@@ -13,7 +13,7 @@
 
 namespace bulrushrun::soak {
 
-Daemon::Daemon(std::string aProgram, std::string aSettings, std::string aLog)
+Daemon::Daemon(std::string aProgram, const std::string& aSettings, std::string aLog)
   : mProgram(std::move(aProgram))
   , mSettings("--settings=" + aSettings)
   , mLog(std::move(aLog))
--- a/soak/Daemon.h
+++ b/soak/Daemon.h
@@ -17,7 +17,7 @@
   /// \param aProgram  path of the program
   /// \param aSettings  path of its settings file
   /// \param aLog  file to which its output is appended
-  Daemon(std::string aProgram, std::string aSettings, std::string aLog);
+  Daemon(std::string aProgram, const std::string& aSettings, std::string aLog);
   Daemon(const Daemon&) = delete;
   Daemon& operator=(const Daemon&) = delete;
   Daemon(Daemon&&) = delete;
