--- a/bulrushrun/configuration/Settings.cpp
+++ b/bulrushrun/configuration/Settings.cpp
@@ -19,18 +19,6 @@
   }
 }
 
-void readSeeds(const YamlMap& aMap, Settings& aSettings)
-{
-  for (const std::string& seed : aMap.texts("seeds")) {
-    const std::optional<Endpoint> endpoint = parseEndpoint(seed);
-    if (endpoint) {
-      aSettings.mSeeds.push_back(*endpoint);
-    } else {
-      aMap.report("seeds", "'" + seed + "' is not an address of the form a.b.c.d:port");
-    }
-  }
-}
-
 void readSecrets(const YamlMap& aMap, Settings& aSettings)
 {
   aSettings.mPeerKeys = aMap.texts("peer_keys");
@@ -61,15 +49,6 @@
   }
 }
 
-void readLogLevel(const YamlMap& aMap, Settings& aSettings)
-{
-  aSettings.mLogLevel = aMap.textOr("log_level", aSettings.mLogLevel);
-  static const std::set<std::string> kLevels{ "debug", "info", "warn", "error" };
-  if (!kLevels.contains(aSettings.mLogLevel)) {
-    aMap.report("log_level", "log_level is one of debug, info, warn, error");
-  }
-}
-
 } // namespace
 
 std::optional<Settings> readSettings(const std::string& aText,
@@ -96,10 +75,11 @@
   settings.mInstance = InstanceId{ map->text("instance") };
   settings.mZone = ZoneName{ map->text("zone") };
   readAddresses(*map, settings);
-  readSeeds(*map, settings);
+  settings.mSeeds = map->endpoints("seeds");
   readSecrets(*map, settings);
   settings.mDrainLimit = map->millis("drain_limit_ms", settings.mDrainLimit);
-  readLogLevel(*map, settings);
+  settings.mLogLevel =
+    map->oneOf("log_level", settings.mLogLevel, { "debug", "info", "warn", "error" });
   if (!aFindings.empty()) {
     return std::nullopt;
   }
--- a/bulrushrun/configuration/YamlMap.cpp
+++ b/bulrushrun/configuration/YamlMap.cpp
@@ -105,6 +105,22 @@
   return child(aKey).Scalar();
 }
 
+std::string YamlMap::oneOf(const char* aKey,
+                           const std::string& aDefault,
+                           std::initializer_list<const char*> aChoices) const
+{
+  std::string value = textOr(aKey, aDefault);
+  std::string choices;
+  for (const char* choice : aChoices) {
+    if (value == choice) {
+      return value;
+    }
+    choices += choices.empty() ? choice : std::string(", ") + choice;
+  }
+  report(aKey, std::string(aKey) + " is one of " + choices);
+  return aDefault;
+}
+
 double YamlMap::number(const char* aKey, double aDefault, double aLow, double aHigh) const
 {
   if (!has(aKey)) {
@@ -170,6 +186,19 @@
   return child(aKey);
 }
 
+std::vector<Endpoint> YamlMap::endpoints(const char* aKey) const
+{
+  std::vector<Endpoint> endpoints;
+  for (const std::string& text : texts(aKey)) {
+    if (const std::optional<Endpoint> endpoint = parseEndpoint(text)) {
+      endpoints.push_back(*endpoint);
+    } else {
+      report(aKey, "'" + text + "' is not an address of the form a.b.c.d:port");
+    }
+  }
+  return endpoints;
+}
+
 std::vector<std::string> YamlMap::texts(const char* aKey) const
 {
   std::vector<std::string> values;
--- a/bulrushrun/configuration/YamlMap.h
+++ b/bulrushrun/configuration/YamlMap.h
@@ -32,6 +32,11 @@
   std::string text(const char* aKey) const;
   /// \brief \returns the text of a key that may be absent.
   std::string textOr(const char* aKey, const std::string& aDefault) const;
+  /// \brief \returns the text of a key that may be absent; reports one that is not among the
+  /// choices.
+  std::string oneOf(const char* aKey,
+                    const std::string& aDefault,
+                    std::initializer_list<const char*> aChoices) const;
   /// \brief \returns a number within [\a aLow, \a aHigh]; reports anything else.
   double number(const char* aKey, double aDefault, double aLow, double aHigh) const;
   /// \brief \returns a whole number within [\a aLow, \a aHigh]; reports anything else.
@@ -42,6 +47,8 @@
   Duration millis(const char* aKey, Duration aDefault) const;
   /// \brief \returns the address at a key that must be there.
   Endpoint endpoint(const char* aKey) const;
+  /// \brief \returns a list of addresses; an absent key is an empty list.
+  std::vector<Endpoint> endpoints(const char* aKey) const;
   /// \brief \returns a list of texts; an absent key is an empty list.
   std::vector<std::string> texts(const char* aKey) const;
   /// \brief \returns the mappings of a list; an absent key is an empty list.
--- a/bulrushrun/net.h
+++ b/bulrushrun/net.h
@@ -14,6 +14,7 @@
 #include "bulrushrun/net/HttpClient.h"
 #include "bulrushrun/net/HttpConnection.h"
 // Control messages and the log.
+#include "bulrushrun/net/CrashReport.h"
 #include "bulrushrun/net/EventLogger.h"
 #include "bulrushrun/net/PeerSocket.h"
 // All of them behind the Host concept.
--- a/bulrushrun/steering/CarrierActions.h
+++ b/bulrushrun/steering/CarrierActions.h
@@ -157,15 +157,13 @@
 template<class HostType, class Wire>
 void RequestCarrier<HostType, Wire>::sayNotRun(Request& aRequest)
 {
-  HttpResponse response;
-  response.mHead.mStatus = 503;
-  response.mHead.mHeaders = { { "Content-Type", "text/plain" },
-                              { "Retry-After", retryAfter(aRequest) } };
-  response.mHead.mCloseAfter = mView.mStopping;
-  response.mBody = "not run: " + aRequest.mReason + "\n";
-  respond(*aRequest.mResponder, response);
+  constexpr int kUnavailable = 503;
   ++mCounters.mRefused;
-  finish(aRequest, "refused", response.mHead.mStatus);
+  sayItself(aRequest,
+            kUnavailable,
+            { { "Retry-After", retryAfter(aRequest) } },
+            "not run: " + aRequest.mReason);
+  finish(aRequest, "refused", kUnavailable);
 }
 
 template<class HostType, class Wire>
@@ -173,14 +171,26 @@
 {
   constexpr int kBadGateway = 502;
   constexpr int kGatewayTimeout = 504;
+  const int status = mHost.now() >= aRequest.mLimit ? kGatewayTimeout : kBadGateway;
+  ++mCounters.mFailed;
+  sayItself(aRequest, status, {}, "may have run: " + aRequest.mReason);
+  finish(aRequest, "failed", status);
+}
+
+/// Gives an answer of this instance's own.
+template<class HostType, class Wire>
+void RequestCarrier<HostType, Wire>::sayItself(Request& aRequest,
+                                               int aStatus,
+                                               Headers aHeaders,
+                                               const std::string& aText)
+{
   HttpResponse response;
-  response.mHead.mStatus = mHost.now() >= aRequest.mLimit ? kGatewayTimeout : kBadGateway;
-  response.mHead.mHeaders = { { "Content-Type", "text/plain" } };
+  response.mHead.mStatus = aStatus;
+  response.mHead.mHeaders = std::move(aHeaders);
+  response.mHead.mHeaders.push_back({ "Content-Type", "text/plain" });
   response.mHead.mCloseAfter = mView.mStopping;
-  response.mBody = "may have run: " + aRequest.mReason + "\n";
+  response.mBody = aText + "\n";
   respond(*aRequest.mResponder, response);
-  ++mCounters.mFailed;
-  finish(aRequest, "failed", response.mHead.mStatus);
 }
 
 template<class HostType, class Wire>
--- a/bulrushrun/steering/RequestCarrier.h
+++ b/bulrushrun/steering/RequestCarrier.h
@@ -115,6 +115,7 @@
   bool mayRepeat(const Request& aRequest);
   void sayNotRun(Request& aRequest);
   void sayFailed(Request& aRequest);
+  void sayItself(Request& aRequest, int aStatus, Headers aHeaders, const std::string& aText);
   void finish(Request& aRequest, const char* aOutcome, int aStatus);
 
   // One exchange with a target.
--- a/bulrushrun/steering/SteeringSettings.cpp
+++ b/bulrushrun/steering/SteeringSettings.cpp
@@ -38,18 +38,6 @@
   return bounds;
 }
 
-void readSeeds(const YamlMap& aMap, SteeringSettings& aSettings)
-{
-  for (const std::string& seed : aMap.texts("seeds")) {
-    const std::optional<Endpoint> endpoint = parseEndpoint(seed);
-    if (endpoint) {
-      aSettings.mSeeds.push_back(*endpoint);
-    } else {
-      aMap.report("seeds", "'" + seed + "' is not an address of the form a.b.c.d:port");
-    }
-  }
-}
-
 void readRegions(const YamlMap& aMap, SteeringSettings& aSettings)
 {
   const std::optional<YamlMap> regions = aMap.map("regions");
@@ -101,7 +89,7 @@
   settings.mNews = map->endpoint("news");
   settings.mPeer = map->endpoint("peer");
   settings.mStore = map->endpoint("store");
-  readSeeds(*map, settings);
+  settings.mSeeds = map->endpoints("seeds");
   settings.mPeerKeys = map->texts("peer_keys");
   if (settings.mPeerKeys.empty()) {
     map->report("peer_keys", "at least one peer key is needed");
@@ -111,7 +99,8 @@
   }
   settings.mMemoryMegabytes =
     static_cast<std::size_t>(map->whole("memory_mb", 256, 16, kMaxMegabytes));
-  settings.mLogLevel = map->textOr("log_level", settings.mLogLevel);
+  settings.mLogLevel =
+    map->oneOf("log_level", settings.mLogLevel, { "debug", "info", "warn", "error" });
   if (!aFindings.empty()) {
     return std::nullopt;
   }
--- a/bulrushrun/steering/tests/SteeringSettingsTest.cpp
+++ b/bulrushrun/steering/tests/SteeringSettingsTest.cpp
@@ -38,12 +38,15 @@
   Findings findings;
   const std::string bad =
     "instance: node-1\nzone: zone-c\nregions: { zone-a: r }\nlisten: nowhere\n"
-    "surprise: 1\n";
+    "surprise: 1\nlog_level: loud\nseeds: [ here ]\n";
   EXPECT_FALSE(readSteeringSettings(bad, "s.yaml", findings));
   const std::string report = findings.report();
   EXPECT_NE(report.find("zone-c"), std::string::npos) << report;
   EXPECT_NE(report.find("surprise"), std::string::npos) << report;
   EXPECT_NE(report.find("s.yaml:4"), std::string::npos) << report;
+  EXPECT_NE(report.find("log_level is one of debug, info, warn, error"), std::string::npos)
+    << report;
+  EXPECT_NE(report.find("'here' is not an address"), std::string::npos) << report;
 }
 
 } // namespace
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -1,25 +1,13 @@
 #include "bulrushrun/instance.h"
-#include "bulrushrun/net.h"
-#include "bulrushrun/net/SignalWatch.h"
-
-#include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
+#include "daemon/DaemonStart.h"
 
 #include <csignal>
-#include <iostream>
-
-ABSL_FLAG(std::string, settings, "", "settings file of this instance (YAML)");
-ABSL_FLAG(bool, check, false, "check the settings and exit");
 
 namespace {
 
 using namespace bulrushrun;
 
-constexpr int kExitBadInput = 2;
-constexpr int kExitFailure = 1;
-
-int runDaemon(const Settings& aSettings)
+int runDaemon(const Settings& aSettings, const std::string&)
 {
   EventLoop loop;
   std::size_t cut = 0;
@@ -51,39 +39,13 @@
   return cut == 0 ? 0 : kExitFailure;
 }
 
-int start()
-{
-  const std::string path = absl::GetFlag(FLAGS_settings);
-  const std::optional<std::string> text = readFile(path);
-  if (!text) {
-    std::cerr << "cannot read the settings file '" << path << "'\n";
-    return kExitBadInput;
-  }
-  Findings findings;
-  const std::optional<Settings> settings = readSettings(*text, path, findings);
-  if (!settings) {
-    std::cerr << findings.report();
-    return kExitBadInput;
-  }
-  if (absl::GetFlag(FLAGS_check)) {
-    std::cout << path << ": no findings\n";
-    return 0;
-  }
-  startLogging(settings->mInstance.text(), settings->mLogLevel);
-  return runDaemon(*settings);
-}
-
 } // namespace
 
 int main(int aCount, char** aArguments)
 {
-  absl::SetProgramUsageMessage(
-    "one instance of bulrushrun\n  bulrushrund --settings=FILE [--check]");
-  absl::ParseCommandLine(aCount, aArguments);
-  try {
-    return start();
-  } catch (const std::exception& error) {
-    std::cerr << "bulrushrund: " << error.what() << "\n";
-    return kExitFailure;
-  }
+  return startDaemon(aCount,
+                     aArguments,
+                     "one instance of bulrushrun\n  bulrushrund --settings=FILE [--check]",
+                     readSettings,
+                     runDaemon);
 }
--- a/daemon/platform_main.cpp
+++ b/daemon/platform_main.cpp
@@ -1,18 +1,8 @@
-#include "bulrushrun/net.h"
-#include "bulrushrun/net/CrashReport.h"
-#include "bulrushrun/net/SignalWatch.h"
 #include "bulrushrun/steering.h"
+#include "daemon/DaemonStart.h"
 #include "platform/Adapter.h"
 
-#include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
-
 #include <csignal>
-#include <iostream>
-
-ABSL_FLAG(std::string, settings, "", "settings file of this instance (YAML)");
-ABSL_FLAG(bool, check, false, "check the settings and exit");
 
 namespace {
 
@@ -20,8 +10,6 @@
 
 using Node = SteeringInstance<LoopHost, platform::Adapter>;
 
-constexpr int kExitBadInput = 2;
-constexpr int kExitFailure = 1;
 /// Settings may change without a signal.
 constexpr Duration kSettingsPeriod = std::chrono::seconds(2);
 /// Time for which an idle connection of a caller outlasts the configured limit.
@@ -29,17 +17,6 @@
 /// Part of the memory that one request's body may take.
 constexpr std::size_t kBodyMemoryShare = 8;
 
-/// \returns the settings, or nothing after writing what is wrong to \a aFindings.
-std::optional<SteeringSettings> loadSettings(const std::string& aPath, Findings& aFindings)
-{
-  const std::optional<std::string> text = readFile(aPath);
-  if (!text) {
-    aFindings.add({ aPath }, "the file can't be read");
-    return std::nullopt;
-  }
-  return readSteeringSettings(*text, aPath, aFindings);
-}
-
 /// \brief Reads the settings file again and takes over what may change while running.
 class SettingsWatch
 {
@@ -62,7 +39,8 @@
     }
     mText = text.value_or("");
     Findings findings;
-    const std::optional<SteeringSettings> settings = loadSettings(mPath, findings);
+    const std::optional<SteeringSettings> settings =
+      loadSettings(mPath, readSteeringSettings, findings);
     if (!settings) {
       mHost.log(events::kSettingsRefused, "findings=\"" + findings.report() + "\"");
       return;
@@ -139,35 +117,14 @@
   return cut == 0 ? 0 : kExitFailure;
 }
 
-int start()
-{
-  const std::string path = absl::GetFlag(FLAGS_settings);
-  Findings findings;
-  const std::optional<SteeringSettings> settings = loadSettings(path, findings);
-  if (!settings) {
-    std::cerr << findings.report();
-    return kExitBadInput;
-  }
-  if (absl::GetFlag(FLAGS_check)) {
-    std::cout << path << ": no findings\n";
-    return 0;
-  }
-  reportCrashes();
-  startLogging(settings->mInstance.text(), settings->mLogLevel);
-  return runDaemon(*settings, path);
-}
-
 } // namespace
 
 int main(int aCount, char** aArguments)
 {
-  absl::SetProgramUsageMessage("one instance of bulrushrun on the users' platform\n"
-                               "  bulrushrund-platform --settings=FILE [--check]");
-  absl::ParseCommandLine(aCount, aArguments);
-  try {
-    return start();
-  } catch (const std::exception& error) {
-    std::cerr << "bulrushrund-platform: " << error.what() << "\n";
-    return kExitFailure;
-  }
+  return startDaemon(aCount,
+                     aArguments,
+                     "one instance of bulrushrun on the users' platform\n"
+                     "  bulrushrund-platform --settings=FILE [--check]",
+                     readSteeringSettings,
+                     runDaemon);
 }
