A fleet that lost its power serves again at once

The instance compared the time at which it saw a target with the time at which it began to apply the first table reading; its clock moves while it applies the rows, so all but the first target looked as if they had registered after the start. With shares below one request (0.95 x 14.2 / 22) cold targets got nothing. Ruled out: targets that are really cold (the rows said 0 ms), a slow store (tables read 0.29 s after the start).

- TargetTable knows whether it was read whole; only later registrations are new.
Test with a clock that moves while rows are applied failed before.
- Requests that arrive before configuration and targets are known wait for 0.4 s at the most.

--- a/bulrushrun/discovery/TargetTable.cpp
+++ b/bulrushrun/discovery/TargetTable.cpp
@@ -18,7 +18,9 @@
   const bool moved = known && (target.mEntry.mEndpoint != aEntry.mEndpoint);
   if (!known || restarted) {
     target = {};
-    target.mFirstSeen = aNow;
+    if (mComplete) {
+      target.mJoinedAt = aNow;
+    }
   }
   target.mEntry = aEntry;
   // A target that announced its departure does not come back within the same life.
--- a/bulrushrun/discovery/TargetTable.h
+++ b/bulrushrun/discovery/TargetTable.h
@@ -14,7 +14,9 @@
 {
   TargetEntry mEntry;
   std::uint64_t mHash = 0;
-  TimePoint mFirstSeen;
+  /// When it registered, if this instance saw that; nothing for those that stood in the first
+  /// reading of the table.
+  std::optional<TimePoint> mJoinedAt;
   /// End of the cold phase as far as known.
   TimePoint mColdUntil;
   /// Set when the entry vanished without the target having announced that it leaves.
@@ -45,6 +47,9 @@
     Updated,
   };
 
+  /// \brief The table was read whole once: whatever registers from now on is new.
+  void setComplete() { mComplete = true; }
+  bool isComplete() const { return mComplete; }
   /// \brief Takes over a registration.
   Change update(const TargetEntry& aEntry, TimePoint aNow);
   /// \brief The entry of a target was removed. \returns true when it was known
@@ -69,6 +74,7 @@
 
   std::map<TargetId, KnownTarget> mTargets;
   std::map<ServiceName, std::set<TargetId>> mByService;
+  bool mComplete = false;
 };
 
 } // namespace bulrushrun
--- a/bulrushrun/limits.h
+++ b/bulrushrun/limits.h
@@ -5,6 +5,7 @@
 /// targets or on idle connections. Shares of what is bounded for the fleet, without agreement.
 
 #include "bulrushrun/limits/ColdAdmission.h"
+#include "bulrushrun/limits/ColdShares.h"
 #include "bulrushrun/limits/IdleLimits.h"
 #include "bulrushrun/limits/RetryShare.h"
 #include "bulrushrun/limits/ShiftCap.h"
--- a/bulrushrun/limits/ColdAdmission.h
+++ b/bulrushrun/limits/ColdAdmission.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "bulrushrun/core.h"
+#include "bulrushrun/limits/ColdShares.h"
 
-#include <algorithm>
 #include <deque>
 #include <map>
 
@@ -11,25 +11,29 @@
 /// \brief Bounds what this instance sends to cold targets, so that the sum over all instances stays
 /// under the fleet's bound although none knows what the others send.
 ///
-/// Only instances of the target's zone send to it while it is cold; each takes an equal share of
-/// the bound, counted over a sliding window.
+/// Only instances of the target's zone send to it while it is cold; each takes its share of the
+/// bound, counted over a sliding window.
 class ColdAdmission
 {
 public:
+  /// \brief The bound's second, by the sender's clock: a request counts in the second in which it
+  /// was both sent and received.
+  static constexpr Duration kWindow = std::chrono::milliseconds(1030);
+
   /// \brief Takes one request's place in the window. \returns false when the share is used up
+  /// \param aTargetHash  hash of the target's identity
   /// \param aFleetBound  requests a second that the target may get from all instances together
-  /// \param aSharers  instances that may send to it; zero when that is unknown
-  bool admit(const TargetId& aTarget, double aFleetBound, std::size_t aSharers, TimePoint aNow)
+  bool admit(const TargetId& aTarget,
+             std::uint64_t aTargetHash,
+             double aFleetBound,
+             const ColdShares& aShares,
+             TimePoint aNow)
   {
-    if (aSharers == 0) {
-      return false;
-    }
     std::deque<TimePoint>& sent = mSent[aTarget];
     while (!sent.empty() && aNow - sent.front() >= kWindow) {
       sent.pop_front();
     }
-    const double share = kMargin * aFleetBound / static_cast<double>(aSharers);
-    if (static_cast<double>(sent.size()) + 1 > share) {
+    if (sent.size() + 1 > aShares.share(aTargetHash, kMargin * aFleetBound)) {
       return false;
     }
     sent.push_back(aNow);
@@ -40,9 +44,6 @@
   void forget(const TargetId& aTarget) { mSent.erase(aTarget); }
 
 private:
-  /// The bound's second, by the sender's clock: a request counts in the second in which it was both
-  /// sent and received.
-  static constexpr Duration kWindow = std::chrono::milliseconds(1030);
   /// Part of the bound that is used.
   static constexpr double kMargin = 0.95;
 
--- a/bulrushrun/steering.h
+++ b/bulrushrun/steering.h
@@ -4,6 +4,7 @@
 /// \brief Umbrella of the steering slice: the instance that took a request sends it to a target.
 
 #include "bulrushrun/steering/CallFacts.h"
+#include "bulrushrun/steering/EarlyRequests.h"
 #include "bulrushrun/steering/SteeringSettings.h"
 // Which target gets a request: pure.
 #include "bulrushrun/steering/TargetPicker.h"
--- a/bulrushrun/steering/CarrierAdmission.h
+++ b/bulrushrun/steering/CarrierAdmission.h
@@ -47,7 +47,9 @@
 }
 
 template<class HostType, class Wire>
-void RequestCarrier<HostType, Wire>::accept(HttpRequest aRequest, ResponderPtr aResponder)
+void RequestCarrier<HostType, Wire>::accept(HttpRequest aRequest,
+                                            ResponderPtr aResponder,
+                                            TimePoint aArrived)
 {
   ++mCounters.mAccepted;
   if (mView.mPlan == nullptr) {
@@ -82,9 +84,9 @@
   request.mPlan = mView.mPlan;
   request.mRoute = route;
   request.mService = mSplits[route->mName].next(route->mServices);
-  request.mArrived = now;
+  request.mArrived = aArrived;
   request.mLimit =
-    now + std::min(request.mFacts.mTimeLeft.value_or(kDefaultTimeLeft), route->mTimeout);
+    aArrived + std::min(request.mFacts.mTimeLeft.value_or(kDefaultTimeLeft), route->mTimeout);
   watchCaller(request);
   const RequestId id = request.mId;
   request.mLimitTimer = mHost.after(request.mLimit - now, [this, id] { onLimit(id); });
--- a/bulrushrun/steering/InstanceFleet.h
+++ b/bulrushrun/steering/InstanceFleet.h
@@ -60,6 +60,7 @@
   mRegisteredAt = mHost.now();
   joinPeers();
   updateFleet();
+  mHost.after(ColdAdmission::kWindow, [this] { updateFleet(); });
   mHost.after(kIntroductionSpan, [this] { updateFleet(); });
 }
 
@@ -92,7 +93,9 @@
     const std::optional<Endpoint> peer = parseEndpoint(row.mValue.substr(0, space));
     const bool self = row.mKey == mSettings.mInstance.text();
     mIntroduced = mIntroduced || self;
-    mRegisteredInZone += row.mValue.substr(space) == " " + mSettings.mZone.text() ? 1 : 0;
+    if (row.mValue.substr(space) == " " + mSettings.mZone.text()) {
+      mRegisteredInZone.insert(row.mKey);
+    }
     if (peer && !self) {
       mStoredPeers.push_back(*peer);
     }
@@ -164,20 +167,36 @@
 template<class HostType, class Adapter>
 void SteeringInstance<HostType, Adapter>::updateFleet()
 {
-  std::size_t inZone = 0;
   const std::vector<Member> members = mGossip->table().all();
-  for (const Member& member : members) {
-    inZone += member.mZone == mSettings.mZone ? 1 : 0;
-  }
   // Members that are taken for dead may only be cut off, and still send.
   mView.mInstances = std::max<std::size_t>(members.size(), 1);
+  mView.mContext.mColdShares = coldShares(members);
+  mRoles = assignNewsRoles(members, mSettings.mRegions, mSettings.mZone);
+}
+
+template<class HostType, class Adapter>
+ColdShares SteeringInstance<HostType, Adapter>::coldShares(
+  const std::vector<Member>& aMembers) const
+{
   const Duration since = mHost.now() - mRegisteredAt;
-  mView.mContext.mZoneInstances =
-    since < kGossipSpan ? std::max(inZone, mRegisteredInZone) : inZone;
-  if (!mIntroduced && since < kIntroductionSpan) {
-    mView.mContext.mZoneInstances = 0;
+  // An earlier life of this instance may have sent its share in the last second.
+  if (since < (mIntroduced ? ColdAdmission::kWindow : kIntroductionSpan)) {
+    return {};
   }
-  mRoles = assignNewsRoles(members, mSettings.mRegions, mSettings.mZone);
+  std::set<std::string> zone;
+  if (since < kGossipSpan) {
+    zone = mRegisteredInZone;
+  }
+  for (const Member& member : aMembers) {
+    if (member.mZone == mSettings.mZone) {
+      zone.insert(member.mId.text());
+    }
+  }
+  std::vector<std::uint64_t> hashes;
+  for (const std::string& instance : zone) {
+    hashes.push_back(hashText(instance));
+  }
+  return { hashText(mSettings.mInstance.text()), std::move(hashes) };
 }
 
 } // namespace bulrushrun
--- a/bulrushrun/steering/InstanceTables.h
+++ b/bulrushrun/steering/InstanceTables.h
@@ -27,6 +27,10 @@
   : mHost(aHost)
   , mSettings(aSettings)
   , mCarrier(aHost, mView)
+  , mEarly(aHost,
+           [this](HttpRequest aRequest, ResponderPtr aResponder, TimePoint aArrived) {
+             mCarrier.accept(std::move(aRequest), std::move(aResponder), aArrived);
+           })
   , mFollowers{ Follower{ aHost,
                           aSettings.mStore,
                           Adapter::kOperatorTable,
@@ -100,9 +104,6 @@
 void SteeringInstance<HostType, Adapter>::setCurrent(NewsTable aTable, TimePoint aWhen)
 {
   const std::size_t index = static_cast<std::size_t>(aTable);
-  if (mCurrentAt[index] == TimePoint{} && aTable == NewsTable::Targets) {
-    mView.mContext.mStarted = mHost.now();
-  }
   mCurrentAt[index] = std::max(mCurrentAt[index], aWhen);
   mView.mCurrentAt = mCurrentAt[static_cast<std::size_t>(NewsTable::Targets)];
 }
@@ -117,6 +118,12 @@
       onTargetRow(row);
     }
   }
+  if (aTable == NewsTable::Targets && mCurrentAt[static_cast<std::size_t>(aTable)] != TimePoint{}) {
+    mView.mTargets.setComplete();
+  }
+  if (isInformed()) {
+    mEarly.release();
+  }
   mNews.answerWaiting();
   joinPeers();
 }
--- a/bulrushrun/steering/RequestCarrier.h
+++ b/bulrushrun/steering/RequestCarrier.h
@@ -67,7 +67,8 @@
   }
 
   /// \brief Takes one request in.
-  void accept(HttpRequest aRequest, ResponderPtr aResponder);
+  /// \param aArrived  when it arrived at the instance, from which its time counts
+  void accept(HttpRequest aRequest, ResponderPtr aResponder, TimePoint aArrived);
   /// \brief Ends requests whose callers have left, and forgets unknown targets.
   void sweep();
   /// \brief \returns requests in progress.
--- a/bulrushrun/steering/SteeringInstance.h
+++ b/bulrushrun/steering/SteeringInstance.h
@@ -3,6 +3,7 @@
 #include "bulrushrun/drain.h"
 #include "bulrushrun/host.h"
 #include "bulrushrun/membership.h"
+#include "bulrushrun/steering/EarlyRequests.h"
 #include "bulrushrun/steering/RequestCarrier.h"
 #include "bulrushrun/steering/SteeringSettings.h"
 #include "bulrushrun/store.h"
@@ -40,7 +41,11 @@
   /// \brief Handles a caller's request.
   void handleCaller(HttpRequest aRequest, ResponderPtr aResponder)
   {
-    mCarrier.accept(std::move(aRequest), std::move(aResponder));
+    if (isInformed()) {
+      mCarrier.accept(std::move(aRequest), std::move(aResponder), mHost.now());
+    } else {
+      mEarly.hold(std::move(aRequest), std::move(aResponder));
+    }
   }
   /// \brief Handles a caller's look-up of instances.
   void handleLookup(const HttpRequest& aRequest, const ResponderPtr& aResponder);
@@ -58,12 +63,7 @@
   void stop() { mDrain.begin(); }
 
   /// \brief \returns true when callers may use this instance.
-  bool isReady() const
-  {
-    const bool targetsKnown =
-      mCurrentAt[static_cast<std::size_t>(NewsTable::Targets)] != TimePoint{};
-    return mView.mPlan != nullptr && targetsKnown && !mDrain.isDraining();
-  }
+  bool isReady() const { return isInformed() && !mDrain.isDraining(); }
   /// \brief Sets what runs when a planned stop no longer takes requests.
   void setOnClosed(std::function<void()> aOnClosed) { mOnClosed = std::move(aOnClosed); }
   /// \brief Sets what counts the answers that have not gone out whole.
@@ -103,6 +103,8 @@
   static constexpr double kPeriodShare = 0.36;
   static constexpr double kStaleShare = 0.56;
 
+  /// \returns true when configuration and targets are known.
+  bool isInformed() const { return mView.mPlan != nullptr && mView.mTargets.isComplete(); }
   Duration tightestBound() const;
   Duration newsPeriod() const;
   DrainSteps drainSteps(std::function<void(std::size_t)> aOnExit);
@@ -130,6 +132,7 @@
   void onInstances(const Table& aRows);
   void joinPeers();
   void updateFleet();
+  ColdShares coldShares(const std::vector<Member>& aMembers) const;
   std::vector<Endpoint> instancesFor(const LookupQuery& aQuery) const;
 
   Duration takingSpan() const;
@@ -141,6 +144,7 @@
   SteeringSettings mSettings;
   SteeringView mView;
   RequestCarrier<HostType, Adapter> mCarrier;
+  EarlyRequests<HostType> mEarly;
   std::array<Follower, kNewsTables> mFollowers;
   std::array<TableCopy, kNewsTables> mCopies;
   /// When the copy of each table was current at the store.
@@ -152,7 +156,7 @@
   /// What the store named at the start: peers, instances of this zone, and whether this one was
   /// among them.
   std::vector<Endpoint> mStoredPeers;
-  std::size_t mRegisteredInZone = 0;
+  std::set<std::string> mRegisteredInZone;
   bool mIntroduced = false;
   TimePoint mRegisteredAt;
   std::set<std::string> mReportedEntries;
--- a/bulrushrun/steering/TargetPicker.cpp
+++ b/bulrushrun/steering/TargetPicker.cpp
@@ -15,9 +15,9 @@
   return homes.empty() || std::find(homes.begin(), homes.end(), aRegion) != homes.end();
 }
 
-bool isCold(const KnownTarget& aTarget, Duration aSpan, TimePoint aStarted, TimePoint aNow)
+bool isCold(const KnownTarget& aTarget, Duration aSpan, TimePoint aNow)
 {
-  const bool isNew = aTarget.mFirstSeen > aStarted && aNow - aTarget.mFirstSeen < aSpan;
+  const bool isNew = aTarget.mJoinedAt && aNow - *aTarget.mJoinedAt < aSpan;
   return isNew || aNow < aTarget.mColdUntil;
 }
 
@@ -96,11 +96,12 @@
                               const PickContext& aContext,
                               TimePoint aNow)
 {
-  if (!isCold(aTarget, aQuery.mColdSpan, aContext.mStarted, aNow)) {
+  if (!isCold(aTarget, aQuery.mColdSpan, aNow)) {
     return true;
   }
   return aTarget.mEntry.mZone == aContext.mZones.own() &&
-         mCold.admit(aTarget.mEntry.mId, aQuery.mColdBound, aContext.mZoneInstances, aNow);
+         mCold.admit(
+           aTarget.mEntry.mId, aTarget.mHash, aQuery.mColdBound, aContext.mColdShares, aNow);
 }
 
 Pick TargetPicker::pick(const PickQuery& aQuery,
--- a/bulrushrun/steering/TargetPicker.h
+++ b/bulrushrun/steering/TargetPicker.h
@@ -35,7 +35,7 @@
   std::vector<RegionName> mHomeRegions;
   /// Requests a second that a cold target of the service may get from all instances together.
   double mColdBound = 0;
-  /// Time after the first sight of a target for which it is taken for cold.
+  /// Time after its registration for which a target is taken for cold.
   Duration mColdSpan{ 0 };
   /// A target of which nothing was heard for this long, with requests in progress, gets no more.
   Duration mSilence = Duration::max();
@@ -47,10 +47,8 @@
   ZoneMap mZones;
   /// Zones whose targets must get no work.
   std::set<ZoneName> mEvacuated;
-  /// Instances of this zone; zero while unknown, then cold targets get nothing from this one.
-  std::size_t mZoneInstances = 0;
-  /// Targets first seen before this moment were there at the start, and are not cold for it.
-  TimePoint mStarted;
+  /// This instance's part of what cold targets of its zone may get.
+  ColdShares mColdShares;
 };
 
 /// \brief Why no target was picked.
--- a/bulrushrun/steering/tests/SteeringInstanceTest.cpp
+++ b/bulrushrun/steering/tests/SteeringInstanceTest.cpp
@@ -155,13 +155,68 @@
   for (const char* name : { "m1", "m2", "m3", "m4", "m5", "m6" }) {
     mWorld.node(name).start();
   }
-  mWorld.run(std::chrono::milliseconds(30));
-  for (int i = 0; i < 10; ++i) {
-    for (const std::string name : { "m1", "m2", "m3", "m4", "m5", "m6" }) {
-      mWorld.call(name, name + std::to_string(i));
+  const std::vector<std::string> started{ "m1", "m2", "m3", "m4", "m5", "m6" };
+  std::vector<std::string> zone = started;
+  zone.insert(zone.end(), { "n1", "n2", "n3" });
+  const auto call = [&](const std::vector<std::string>& aInstances) {
+    for (int i = 0; i < 10; ++i) {
+      for (const std::string& name : aInstances) {
+        mWorld.call(name, name + std::to_string(i));
+      }
     }
-  }
+  };
+  mWorld.run(std::chrono::milliseconds(30));
+  call(started);
+  EXPECT_EQ(mWorld.atTargets().size(), 0U)
+    << "earlier lives of the instances may have sent what the second allows";
+  mWorld.run(std::chrono::milliseconds(1200));
+  call(zone);
   EXPECT_LE(mWorld.atTargets().size(), 2U);
+  EXPECT_GE(mWorld.atTargets().size(), 1U) << "nine instances share two requests a second";
+}
+
+/// The pattern of a fleet that lost its power: reading the table takes time, and what stands in it
+/// has not just started.
+TEST_F(AFleet, TakesNoTargetForColdThatWasThereBeforeItself)
+{
+  constexpr int kTargets = 8;
+  for (int i = 1; i <= kTargets; ++i) {
+    mWorld.putTarget("t" + std::to_string(i));
+  }
+  mWorld.mLogCost = std::chrono::milliseconds(1);
+  mWorld.add("n6", "za").start();
+  mWorld.run(std::chrono::seconds(1));
+  constexpr std::size_t kSlots = 4;
+  for (std::size_t i = 0; i < kTargets * kSlots; ++i) {
+    mWorld.call("n6", "id-" + std::to_string(i));
+  }
+  EXPECT_EQ(mWorld.atTargets().size(), kTargets * kSlots) << "each has its slots filled";
+}
+
+/// The pattern of a fleet that lost its power: callers still know its addresses and have one
+/// repeat.
+TEST_F(AFleet, LetsRequestsWaitWhileItReadsTheTablesAtItsStart)
+{
+  Node& node = mWorld.add("n6", "za");
+  const std::shared_ptr<KeptResponder> early = mWorld.call("n6", "id-early");
+  EXPECT_EQ(mWorld.atTargets().size(), 0U);
+  node.start();
+  mWorld.run(std::chrono::milliseconds(100));
+  ASSERT_EQ(mWorld.atTargets().size(), 1U);
+  EXPECT_FALSE(early->mWhole);
+}
+
+TEST_F(AFleet, RefusesThemWhenTheTablesAreNotToBeHad)
+{
+  mWorld.mStore.setDown(503);
+  for (const std::string& name : mNames) {
+    mWorld.kill(name);
+  }
+  mWorld.add("n6", "za").start();
+  const std::shared_ptr<KeptResponder> early = mWorld.call("n6", "id-early");
+  mWorld.run(std::chrono::milliseconds(500));
+  ASSERT_TRUE(early->mWhole);
+  EXPECT_EQ(early->mHead.mStatus, 503);
 }
 
 class APlannedStop : public AFleet
--- a/bulrushrun/steering/tests/SteeringWorld.cpp
+++ b/bulrushrun/steering/tests/SteeringWorld.cpp
@@ -12,6 +12,12 @@
 
 } // namespace
 
+void WorldHost::log(const Event& aEvent, const std::string& aText)
+{
+  mLog.push_back(std::string{ aEvent.mName } + " " + aText);
+  mWorld.mNow += mWorld.mLogCost;
+}
+
 TimePoint WorldHost::now() const
 {
   return mWorld.mNow;
--- a/bulrushrun/steering/tests/SteeringWorld.h
+++ b/bulrushrun/steering/tests/SteeringWorld.h
@@ -82,10 +82,7 @@
   void abortExchange(ExchangeId aExchange);
   void resumeExchange(ExchangeId) {}
   void sendToPeer(const Endpoint& aPeer, const std::string& aBytes);
-  void log(const Event& aEvent, const std::string& aText)
-  {
-    mLog.push_back(std::string{ aEvent.mName } + " " + aText);
-  }
+  void log(const Event& aEvent, const std::string& aText);
 
   /// All that was logged.
   std::vector<std::string> mLog;
@@ -140,6 +137,8 @@
   RowsStore mStore;
   /// Instances that the store does not answer.
   std::set<std::string> mTurnedAway;
+  /// Time that passes at an instance while it writes a line of its log.
+  Duration mLogCost{ 0 };
   /// Calls that reached the store.
   std::size_t mStoreCalls = 0;
 
--- a/bulrushrun/steering/tests/TargetPickerTest.cpp
+++ b/bulrushrun/steering/tests/TargetPickerTest.cpp
@@ -28,7 +28,7 @@
       regions[ZoneName{ "z" + std::to_string(i) }] = RegionName{ "r" + std::to_string(i / 2) };
     }
     mContext.mZones = ZoneMap{ ZoneName{ "z0" }, regions };
-    mContext.mStarted = mNow;
+    mTable.setComplete();
     mNow += std::chrono::seconds(10);
   }
 
