--- a/bulrushrun/steering/TargetPicker.cpp
+++ b/bulrushrun/steering/TargetPicker.cpp
@@ -1,7 +1,6 @@
 #include "bulrushrun/steering/TargetPicker.h"
 
 #include "bulrushrun/routing/Rendezvous.h"
-#include "bulrushrun/steering/RegionWeights.h"
 
 #include <algorithm>
 #include <array>
@@ -30,19 +29,13 @@
   const PickContext& aContext,
   TimePoint aNow)
 {
-  std::vector<const KnownTarget*> allowed;
-  for (const KnownTarget* target : aUsable) {
-    const ZoneName& zone = target->mEntry.mZone;
-    if (!aContext.mEvacuated.contains(zone) && isHome(aQuery, aContext.mZones.regionOf(zone))) {
-      allowed.push_back(target);
-    }
-  }
-  const RegionWeights weights{ aContext.mZones, allowed };
   std::vector<Candidate> open;
   std::vector<Candidate> ejected;
-  for (const KnownTarget* target : allowed) {
+  const double nearWeight = static_cast<double>(aContext.mZones.regionCount());
+  for (const KnownTarget* target : aUsable) {
     const TargetEntry& entry = target->mEntry;
-    if (aQuery.mTried.contains(entry.mId)) {
+    if (aContext.mEvacuated.contains(entry.mZone) || aQuery.mTried.contains(entry.mId) ||
+        !isHome(aQuery, aContext.mZones.regionOf(entry.mZone))) {
       continue;
     }
     const TargetStats& seen = mStats[entry.mId];
@@ -51,7 +44,7 @@
     candidate.mLoad = seen.load(aNow);
     candidate.mDistance = aContext.mZones.distance(entry.mZone);
     if (aQuery.mAffinity == Affinity::Object) {
-      const double weight = weights.weight(aContext.mZones.regionOf(entry.mZone));
+      const double weight = candidate.mDistance == Distance::OtherRegion ? 1 : nearWeight;
       candidate.mRank = rendezvousScore(aQuery.mObject, target->mHash, weight * entry.mSlots);
     } else {
       candidate.mRank = -candidate.mLoad / entry.mSlots;
--- a/bulrushrun/steering/TargetPicker.h
+++ b/bulrushrun/steering/TargetPicker.h
@@ -78,7 +78,9 @@
 /// \brief Chooses the target of each send. Pure; knows no host and no socket.
 ///
 /// Requests on one object go to the object's home, where it is warm: the winner of weighted
-/// rendezvous hashing, by RegionWeights. A warm target that makes a request wait a little is better than a cold one at
+/// rendezvous hashing, in which targets of the own region weigh as many times more as there are
+/// regions. Even when all regions ask alike, a region with few targets then gets no more than the
+/// average load. A warm target that makes a request wait a little is better than a cold one at
 /// once, and every target over which an object spreads forgets another object for it.
 ///
 /// Requests without an object go to the least loaded target, the own zone first.
