A zone keeps near copies only of as many objects as its targets can carry

Ruled out: cold runs (10 first runs in all), and health of the targets.

Which objects a zone keeps is decided by hash, alike on all its instances: the share of the slots that stand in the zone, times the number of zones. Test of that load in TargetPickerTest.

--- a/bulrushrun/routing/ZoneMap.h
+++ b/bulrushrun/routing/ZoneMap.h
@@ -48,6 +48,7 @@
     return regionOf(aZone) == regionOf(mOwn) ? Distance::SameRegion : Distance::OtherRegion;
   }
   std::size_t regionCount() const { return mRegionCount; }
+  std::size_t zoneCount() const { return mRegions.size(); }
 
 private:
   ZoneName mOwn;
--- a/bulrushrun/steering/TargetPicker.cpp
+++ b/bulrushrun/steering/TargetPicker.cpp
@@ -60,7 +60,26 @@
   return open;
 }
 
+/// A zone's targets keep copies of as many of its callers' objects as their slots can carry, when
+/// all zones ask alike: which ones, is the same for all its instances.
+bool TargetPicker::keepsNearCopy(const PickQuery& aQuery,
+                                 const PickContext& aContext,
+                                 const std::vector<Candidate>& aCandidates)
+{
+  double near = 0;
+  double all = 0;
+  for (const Candidate& candidate : aCandidates) {
+    const int slots = candidate.mTarget->mEntry.mSlots;
+    near += candidate.mDistance == Distance::SameZone ? slots : 0;
+    all += slots;
+  }
+  constexpr std::uint64_t kSalt = 0x6e656172;
+  const double place = static_cast<double>(combineHashes(aQuery.mObject, kSalt) >> 11U) * 0x1.0p-53;
+  return place * all < near * static_cast<double>(aContext.mZones.zoneCount());
+}
+
 TargetPicker::Preference TargetPicker::prefer(const PickQuery& aQuery,
+                                              const PickContext& aContext,
                                               std::vector<Candidate> aCandidates)
 {
   Preference preference;
@@ -77,7 +96,7 @@
     preference.mHomesEnd = preference.mSparesEnd = order.size();
     return preference;
   }
-  if (aQuery.mLargeAnswer) {
+  if (aQuery.mLargeAnswer && keepsNearCopy(aQuery, aContext, order)) {
     const auto nearest = std::find_if(order.begin(), order.end(), [](const Candidate& aCandidate) {
       return aCandidate.mDistance == Distance::SameZone;
     });
@@ -109,7 +128,8 @@
                         const PickContext& aContext,
                         TimePoint aNow)
 {
-  const Preference preference = prefer(aQuery, candidates(aQuery, aUsable, aContext, aNow));
+  const Preference preference =
+    prefer(aQuery, aContext, candidates(aQuery, aUsable, aContext, aNow));
   const std::vector<Candidate>& order = preference.mOrder;
   Pick result;
   result.mUsable = order.size();
--- a/bulrushrun/steering/TargetPicker.h
+++ b/bulrushrun/steering/TargetPicker.h
@@ -143,7 +143,12 @@
                                     const std::vector<const KnownTarget*>& aUsable,
                                     const PickContext& aContext,
                                     TimePoint aNow);
-  static Preference prefer(const PickQuery& aQuery, std::vector<Candidate> aCandidates);
+  static Preference prefer(const PickQuery& aQuery,
+                           const PickContext& aContext,
+                           std::vector<Candidate> aCandidates);
+  static bool keepsNearCopy(const PickQuery& aQuery,
+                            const PickContext& aContext,
+                            const std::vector<Candidate>& aCandidates);
   bool admitsCold(const KnownTarget& aTarget,
                   const PickQuery& aQuery,
                   const PickContext& aContext,
--- a/bulrushrun/steering/tests/TargetPickerTest.cpp
+++ b/bulrushrun/steering/tests/TargetPickerTest.cpp
@@ -184,6 +184,26 @@
   }
 }
 
+/// The pattern of a region with few targets, each of which would have to keep all objects of its
+/// zone: it would be cold for most of them, and its queue full.
+TEST_F(ALargeAnswer, ComesFromTheOwnZoneOnlyForAsManyObjectsAsItsTargetsCanCarry)
+{
+  for (const char* other : { "t6", "t12" }) {
+    TargetEntry entry = mTable.find(TargetId{ other })->mEntry;
+    entry.mDraining = true;
+    mTable.update(entry, mNow);
+  }
+  constexpr int kObjects = 2000;
+  double near = 0;
+  for (std::uint64_t object = 0; object < kObjects; ++object) {
+    const Pick choice = pickLarge(object);
+    const bool home = choice.mTarget->mEntry.mId == homeOf(object);
+    near += choice.mTarget->mEntry.mZone == ZoneName{ "z0" } && !home ? 1.0 / kObjects : 0;
+  }
+  EXPECT_LE(near, 6.0 / 16) << "one of sixteen targets, for one of six zones";
+  EXPECT_GE(near, 0.7 * 6.0 / 16);
+}
+
 /// The pattern of a zone with too few targets for its callers.
 TEST_F(ALargeAnswer, ComesFromTheObjectsHomeWhenTheZoneHasNoSlot)
 {
