Fewer calls to the store at the start; look-ups wait at the start, too

Two findings on the way. A test of ours failed with the new peers: the stand-in answered an expired feed call with a version whose change it left out; it re-reads the feed now. It also showed two copies that differ for good question each other without a pause; they pause 100 ms now.

--- a/bulrushrun/host/Events.h
+++ b/bulrushrun/host/Events.h
@@ -51,6 +51,7 @@
 inline constexpr Event kRequestEnded{ 8001, Severity::Info, "request-ended" };
 inline constexpr Event kRequestRefused{ 8002, Severity::Info, "request-refused" };
 inline constexpr Event kSendFailed{ 8003, Severity::Info, "send-failed" };
+inline constexpr Event kLookupRefused{ 8004, Severity::Info, "lookup-refused" };
 
 inline constexpr std::array kAll{
   kInstanceStarted,      kInstanceReady,        kDrainStarted,         kDrainEnded,
@@ -62,7 +63,8 @@
   kAdministrationChange, kSettingsAdopted,      kSettingsRefused,      kPlanAdopted,
   kPlanRefused,          kZoneEvacuated,        kZoneRestored,         kFeedLost,
   kFeedRegained,         kTargetAdded,          kTargetVanished,       kTargetEntryRefused,
-  kTargetReplaced,       kRequestEnded,         kRequestRefused,       kSendFailed
+  kTargetReplaced,       kRequestEnded,         kRequestRefused,       kSendFailed,
+  kLookupRefused
 };
 
 } // namespace bulrushrun::events
--- a/bulrushrun/membership/NewsRoles.cpp
+++ b/bulrushrun/membership/NewsRoles.cpp
@@ -12,6 +12,20 @@
   });
 }
 
+bool namesSame(const NewsRoles& aLeft, const NewsRoles& aRight)
+{
+  const auto sameId = [](const Member& aOne, const Member& aOther) {
+    return aOne.mId == aOther.mId;
+  };
+  const bool sameRelay = aLeft.mRelay.has_value() == aRight.mRelay.has_value() &&
+                         (!aLeft.mRelay || sameId(*aLeft.mRelay, *aRight.mRelay));
+  return sameRelay && std::equal(aLeft.mReaders.begin(),
+                                 aLeft.mReaders.end(),
+                                 aRight.mReaders.begin(),
+                                 aRight.mReaders.end(),
+                                 sameId);
+}
+
 NewsRoles assignNewsRoles(const std::vector<Member>& aMembers,
                           const std::map<ZoneName, RegionName>& aRegions,
                           const ZoneName& aOwnZone)
--- a/bulrushrun/membership/NewsRoles.h
+++ b/bulrushrun/membership/NewsRoles.h
@@ -24,6 +24,9 @@
   bool isReader(const InstanceId& aInstance) const;
 };
 
+/// \brief \returns true when the same instances have the same roles.
+bool namesSame(const NewsRoles& aLeft, const NewsRoles& aRight);
+
 /// \brief Readers of a fleet of any size: one may be lost and another one turned away by the store.
 inline constexpr std::size_t kNewsReaders = 3;
 
--- a/bulrushrun/steering/InstanceFleet.h
+++ b/bulrushrun/steering/InstanceFleet.h
@@ -16,15 +16,20 @@
            [] { return std::vector<LeavingNotice>{}; } };
 }
 
+template<class HostType, class Adapter>
+std::string SteeringInstance<HostType, Adapter>::ownRow() const
+{
+  return mSettings.mPeer.text() + " " + mSettings.mZone.text();
+}
+
 /// The version of the written row is this life's incarnation: the store's counter only rises.
 template<class HostType, class Adapter>
 void SteeringInstance<HostType, Adapter>::registerSelf()
 {
+  ++mRegistrationCalls;
   exchangeWhole(mHost,
                 mSettings.mStore,
-                Rows::writeRow(Adapter::kInstanceTable,
-                               mSettings.mInstance.text(),
-                               mSettings.mPeer.text() + " " + mSettings.mZone.text()),
+                Rows::writeRow(Adapter::kInstanceTable, mSettings.mInstance.text(), ownRow()),
                 kWriteLimit,
                 kMaxAnswerBytes,
                 [this](ExchangeEnd aEnd, const HttpResponse& aResponse) {
@@ -65,34 +70,37 @@
 }
 
 template<class HostType, class Adapter>
-void SteeringInstance<HostType, Adapter>::readInstances()
+void SteeringInstance<HostType, Adapter>::readInstances(const std::string& aFrom)
 {
+  ++mRegistrationCalls;
   exchangeWhole(mHost,
                 mSettings.mStore,
-                Rows::readRows(Adapter::kInstanceTable, ""),
+                Rows::readRows(Adapter::kInstanceTable, aFrom),
                 kWriteLimit,
                 kMaxAnswerBytes,
-                [this](ExchangeEnd aEnd, const HttpResponse& aResponse) {
+                [this, aFrom](ExchangeEnd aEnd, const HttpResponse& aResponse) {
                   const RowReadResult result =
                     aEnd == ExchangeEnd::Whole ? Rows::parseRows(aResponse) : RowReadResult{};
                   if (result.mStatus == RowReadStatus::Ok) {
-                    onInstances(result.mBatch.mRows);
+                    onInstances(result.mBatch);
                   } else {
-                    mHost.after(kWritePause, [this] { readInstances(); });
+                    mHost.after(kWritePause, [this, aFrom] { readInstances(aFrom); });
                   }
                 });
 }
 
 /// Finds the peers, and learns with how many instances of its zone this one shares bounds before
-/// gossip tells it. Rows of instances that are gone only make its share smaller for a while.
+/// gossip tells it. Rows of instances that are gone only make its share smaller for a while. When
+/// the row of an earlier life still holds, the store's newest version is the incarnation.
 template<class HostType, class Adapter>
-void SteeringInstance<HostType, Adapter>::onInstances(const Table& aRows)
+void SteeringInstance<HostType, Adapter>::onInstances(const RowBatch& aBatch)
 {
-  for (const StoreRow& row : aRows) {
+  for (const StoreRow& row : aBatch.mRows) {
     const std::size_t space = std::min(row.mValue.find(' '), row.mValue.size());
     const std::optional<Endpoint> peer = parseEndpoint(row.mValue.substr(0, space));
     const bool self = row.mKey == mSettings.mInstance.text();
     mIntroduced = mIntroduced || self;
+    mRowStands = mRowStands || (self && row.mValue == ownRow());
     if (row.mValue.substr(space) == " " + mSettings.mZone.text()) {
       mRegisteredInZone.insert(row.mKey);
     }
@@ -100,7 +108,14 @@
       mStoredPeers.push_back(*peer);
     }
   }
-  registerSelf();
+  if (aBatch.mMore && !aBatch.mRows.empty()) {
+    // The smallest key that sorts behind the last one.
+    readInstances(aBatch.mRows.back().mKey + '\x01');
+  } else if (mRowStands) {
+    onRegistered(aBatch.mVersion);
+  } else {
+    registerSelf();
+  }
 }
 
 /// Peers name this instance to callers as soon as they know it, so it joins them when it is ready.
@@ -171,7 +186,11 @@
   // Members that are taken for dead may only be cut off, and still send.
   mView.mInstances = std::max<std::size_t>(members.size(), 1);
   mView.mContext.mColdShares = coldShares(members);
-  mRoles = assignNewsRoles(members, mSettings.mRegions, mSettings.mZone);
+  NewsRoles roles = assignNewsRoles(members, mSettings.mRegions, mSettings.mZone);
+  if (!namesSame(roles, mRoles)) {
+    mNews.choosePeerAnew();
+  }
+  mRoles = std::move(roles);
 }
 
 template<class HostType, class Adapter>
--- a/bulrushrun/steering/InstanceService.h
+++ b/bulrushrun/steering/InstanceService.h
@@ -64,6 +64,10 @@
       chosen = group;
     }
   }
+  if (chosen.empty() && isReady()) {
+    // The others are not known yet.
+    chosen.push_back(mSettings.mListen);
+  }
   chosen.resize(std::min(chosen.size(), kMaxLookupAddresses));
   return chosen;
 }
@@ -71,6 +75,17 @@
 template<class HostType, class Adapter>
 void SteeringInstance<HostType, Adapter>::handleLookup(const HttpRequest& aRequest,
                                                        const ResponderPtr& aResponder)
+{
+  if (isInformed()) {
+    answerLookup(aRequest, aResponder);
+  } else {
+    mEarlyLookups.hold(aRequest, aResponder);
+  }
+}
+
+template<class HostType, class Adapter>
+void SteeringInstance<HostType, Adapter>::answerLookup(const HttpRequest& aRequest,
+                                                       const ResponderPtr& aResponder)
 {
   HttpResponse response;
   response.mHead.mHeaders = { { "Content-Type", "application/json" } };
@@ -86,6 +101,9 @@
     response.mHead.mStatus = 503;
     response.mHead.mHeaders.push_back({ "Retry-After", "0.5" });
     response.mBody = R"({"error":"no instance is known to be ready"})";
+    mHost.log(events::kLookupRefused,
+              "zone=" + query->mZone.text() + " ready=" + std::to_string(isReady() ? 1 : 0) +
+                " members=" + std::to_string(mGossip ? mGossip->table().all().size() : 0));
   } else {
     response.mBody = Adapter::lookupAnswer(instances, kLookupSpan);
   }
@@ -144,6 +162,17 @@
   counter("requests_refused_total", "Requests refused without having run.", counters.mRefused);
   counter("requests_failed_total", "Requests that failed and may have run.", counters.mFailed);
   counter("callers_gone_total", "Callers that left before their answer.", counters.mCallersGone);
+  std::uint64_t reads = 0;
+  std::uint64_t follows = 0;
+  for (const Follower& follower : mFollowers) {
+    reads += follower.reads();
+    follows += follower.follows();
+  }
+  counter("store_table_reads_total", "Calls to the store that read a table.", reads);
+  counter("store_feed_calls_total", "Calls to the store that follow changes.", follows);
+  counter("store_registration_calls_total",
+          "Calls to the store that read or write the table of instances.",
+          mRegistrationCalls);
   mCarrier.metrics().render(text);
   return text;
 }
--- a/bulrushrun/steering/InstanceTables.h
+++ b/bulrushrun/steering/InstanceTables.h
@@ -31,6 +31,10 @@
            [this](HttpRequest aRequest, ResponderPtr aResponder, TimePoint aArrived) {
              mCarrier.accept(std::move(aRequest), std::move(aResponder), aArrived);
            })
+  , mEarlyLookups(aHost,
+                  [this](const HttpRequest& aRequest, const ResponderPtr& aResponder, TimePoint) {
+                    answerLookup(aRequest, aResponder);
+                  })
   , mFollowers{ Follower{ aHost,
                           aSettings.mStore,
                           Adapter::kOperatorTable,
@@ -73,7 +77,7 @@
     follower.start();
   }
   mNews.start();
-  readInstances();
+  readInstances("");
   sweep();
 }
 
@@ -123,6 +127,7 @@
   }
   if (isInformed()) {
     mEarly.release();
+    mEarlyLookups.release();
   }
   mNews.answerWaiting();
   joinPeers();
@@ -174,7 +179,9 @@
 void SteeringInstance<HostType, Adapter>::chooseSource()
 {
   const Duration stale = fromSeconds(kStaleShare * toSeconds(tightestBound()));
-  const bool reader = mRoles.isReader(mSettings.mInstance) || known().mAge > stale;
+  const bool joined = mGossip && mHost.now() - mRegisteredAt >= kJoinSpan;
+  const bool appointed = joined && mRoles.isReader(mSettings.mInstance);
+  const bool reader = appointed || (isInformed() && known().mAge > stale);
   for (Follower& follower : mFollowers) {
     follower.setActive(reader);
   }
--- a/bulrushrun/steering/SteeringInstance.h
+++ b/bulrushrun/steering/SteeringInstance.h
@@ -90,6 +90,8 @@
   /// Time after which the others know an instance that was never there before. Until then they do
   /// not leave it a share of what cold targets may get.
   static constexpr Duration kIntroductionSpan = std::chrono::seconds(2);
+  /// Time after which gossip knows enough of the others to tell who reads the store.
+  static constexpr Duration kJoinSpan = std::chrono::seconds(1);
   /// Time after which gossip knows all instances that are running.
   static constexpr Duration kGossipSpan = std::chrono::seconds(10);
   static constexpr Duration kWriteLimit = std::chrono::milliseconds(1500);
@@ -128,13 +130,15 @@
   // The other instances.
   void registerSelf();
   void onRegistered(RecordVersion aVersion);
-  void readInstances();
-  void onInstances(const Table& aRows);
+  void readInstances(const std::string& aFrom);
+  void onInstances(const RowBatch& aBatch);
+  std::string ownRow() const;
   void joinPeers();
   void updateFleet();
   ColdShares coldShares(const std::vector<Member>& aMembers) const;
   std::vector<Endpoint> instancesFor(const LookupQuery& aQuery) const;
 
+  void answerLookup(const HttpRequest& aRequest, const ResponderPtr& aResponder);
   Duration takingSpan() const;
   void beginStop();
   void sweep();
@@ -145,6 +149,7 @@
   SteeringView mView;
   RequestCarrier<HostType, Adapter> mCarrier;
   EarlyRequests<HostType> mEarly;
+  EarlyRequests<HostType> mEarlyLookups;
   std::array<Follower, kNewsTables> mFollowers;
   std::array<TableCopy, kNewsTables> mCopies;
   /// When the copy of each table was current at the store.
@@ -158,7 +163,10 @@
   std::vector<Endpoint> mStoredPeers;
   std::set<std::string> mRegisteredInZone;
   bool mIntroduced = false;
+  /// The own row of an earlier life says what this one would write.
+  bool mRowStands = false;
   TimePoint mRegisteredAt;
+  std::uint64_t mRegistrationCalls = 0;
   std::set<std::string> mReportedEntries;
   std::function<void(const CallerLimits&)> mOnLimits;
   std::function<void()> mOnClosed;
--- a/bulrushrun/steering/tests/SteeringInstanceTest.cpp
+++ b/bulrushrun/steering/tests/SteeringInstanceTest.cpp
@@ -206,6 +206,20 @@
   EXPECT_FALSE(early->mWhole);
 }
 
+TEST_F(AFleet, LetsLookUpsWaitLikewiseAndNamesItselfWhenItKnowsNoOther)
+{
+  Node& node = mWorld.add("n6", "za");
+  const std::shared_ptr<KeptResponder> early = std::make_shared<KeptResponder>();
+  HttpRequest lookup;
+  lookup.mPath = "/-/resolve?name=shop&region=ra&zone=za";
+  node.handleLookup(lookup, early);
+  EXPECT_FALSE(early->mWhole);
+  node.start();
+  mWorld.run(std::chrono::milliseconds(100));
+  ASSERT_TRUE(early->mWhole);
+  EXPECT_EQ(early->mHead.mStatus, 200);
+}
+
 TEST_F(AFleet, RefusesThemWhenTheTablesAreNotToBeHad)
 {
   mWorld.mStore.setDown(503);
@@ -219,6 +233,39 @@
   EXPECT_EQ(early->mHead.mStatus, 503);
 }
 
+/// The pattern of a fleet that lost its power: every instance reads two tables and the list of
+/// instances. Following the changes is left to the readers, and rows that still hold are not
+/// written.
+TEST_F(AFleet, CallsTheStoreThreeTimesAnInstanceWhenAllStartAgain)
+{
+  for (const std::string& name : mNames) {
+    mWorld.kill(name);
+  }
+  mWorld.run(std::chrono::seconds(1));
+  World again;
+  again.mStore = mWorld.mStore;
+  for (const std::string& name : mNames) {
+    again.add(name, name < "n4" ? "za" : "zb").start();
+  }
+  again.run(std::chrono::milliseconds(900));
+  for (const std::string& name : mNames) {
+    EXPECT_TRUE(again.node(name).isReady()) << name;
+  }
+  EXPECT_EQ(again.mStoreCalls, 3 * mNames.size());
+}
+
+/// A table of more rows than one answer holds.
+TEST_F(AFleet, FindsItsPeersInATableOfManyInstances)
+{
+  for (int i = 0; i < 1400; ++i) {
+    mWorld.mStore.put("bulrushrun-instances", "a" + std::to_string(i), "10.9.9.9:8005 zz");
+  }
+  mWorld.kill("n1");
+  mWorld.add("n6", "za").start();
+  mWorld.run(std::chrono::seconds(1));
+  EXPECT_TRUE(knows("n6", "member-joined member=n5")) << "its row stands behind all of them";
+}
+
 class APlannedStop : public AFleet
 {};
 
--- a/bulrushrun/steering/tests/SteeringWorld.cpp
+++ b/bulrushrun/steering/tests/SteeringWorld.cpp
@@ -141,7 +141,9 @@
   mFeeds.insert(aExchange.value());
   mTimers.add(mNow + std::chrono::milliseconds(900), [this, aExchange] {
     if (mFeeds.erase(aExchange.value()) > 0) {
-      finish(aExchange, mStore.emptyFeed());
+      // What changed at this very moment belongs into the answer.
+      const HttpRequest& request = mExchanges.at(aExchange.value()).mRequest;
+      finish(aExchange, mStore.handle(request).value_or(mStore.emptyFeed()));
     }
   });
 }
--- a/bulrushrun/store/NewsExchange.h
+++ b/bulrushrun/store/NewsExchange.h
@@ -46,6 +46,9 @@
   {
   }
 
+  /// \brief Makes the next question go to a peer chosen anew, because the roles changed.
+  void choosePeerAnew() { mPeer.reset(); }
+
   /// \brief Begins to ask peers.
   void start() { ask(); }
 
@@ -93,7 +96,7 @@
   static constexpr Duration kPause = std::chrono::milliseconds(100);
   /// An answer that tells no news is worth sending when it is fresher by this part of the period.
   static constexpr int kFresherPart = 4;
-  /// Roles change with the membership, so the choice is made anew after this span.
+  /// The choice is made anew after this span at the latest.
   static constexpr Duration kPeerSpan = std::chrono::seconds(8);
   static constexpr std::size_t kMaxAnswerBytes = std::size_t{ 8 } * 1024 * 1024;
 
@@ -135,6 +138,8 @@
     question.mMethod = "GET";
     PeerNewsQuestion own = mOwner.mKnown();
     own.mWait = mPeriod;
+    mAskedAt = mHost.now();
+    mAskedWith = own.mProgress;
     question.mPath = peerNewsPath(own);
     exchangeWhole(
       mHost,
@@ -153,8 +158,12 @@
     if (news) {
       mOwner.mHear(*news);
     }
+    const bool idle = mHost.now() - mAskedAt < kPause && mOwner.mKnown().mProgress == mAskedWith;
     if (mDisappointed) {
       askLater();
+    } else if (idle) {
+      // Two copies that differ for good must not question each other without a pause.
+      mHost.after(kPause, [this] { ask(); });
     } else {
       ask();
     }
@@ -167,6 +176,8 @@
   std::list<Waiting> mWaiting;
   std::optional<Endpoint> mPeer;
   TimePoint mChosenAt;
+  TimePoint mAskedAt;
+  NewsProgress mAskedWith;
   bool mDisappointed = false;
 };
 
--- a/bulrushrun/store/TableFollower.h
+++ b/bulrushrun/store/TableFollower.h
@@ -73,6 +73,10 @@
 
   /// \brief \returns the version that was reached.
   RecordVersion version() const { return mVersion; }
+  /// \brief \returns the calls so far that read the table.
+  std::uint64_t reads() const { return mReads; }
+  /// \brief \returns the calls so far that followed its changes.
+  std::uint64_t follows() const { return mFollows; }
 
 private:
   static constexpr Duration kReadLimit = std::chrono::milliseconds(1500);
@@ -87,6 +91,7 @@
     if (aFrom.empty()) {
       mPending.clear();
     }
+    ++mReads;
     call(Protocol::readRows(mTable, aFrom), kReadLimit, [this](RowReadResult aResult) {
       onPage(std::move(aResult));
     });
@@ -122,6 +127,7 @@
       mResting = true;
       return;
     }
+    ++mFollows;
     call(Protocol::followRows(mTable, mVersion, aWait),
          aWait + mPace.mSlack,
          [this](RowReadResult aResult) { onFeed(std::move(aResult)); });
@@ -196,6 +202,8 @@
   bool mAvailable = true;
   bool mActive = true;
   bool mResting = false;
+  std::uint64_t mReads = 0;
+  std::uint64_t mFollows = 0;
 };
 
 } // namespace bulrushrun
