A target that registers again in the same life is not taken for new

Registrations lapse while the store is away and come back with it; dropped ones counted as new, and so as cold, for the whole cold span. The table remembers the start and the cold phase of dropped targets (4,096 at most). Ruled out: relying on the row's remaining cold time alone, which another writer may leave out.

--- a/bulrushrun/discovery/TargetTable.cpp
+++ b/bulrushrun/discovery/TargetTable.cpp
@@ -21,6 +21,11 @@
     if (mComplete) {
       target.mJoinedAt = aNow;
     }
+    const auto past = mPast.find(aEntry.mId);
+    if (past != mPast.end() && past->second.mIncarnation == aEntry.mIncarnation) {
+      target.mJoinedAt = past->second.mJoinedAt;
+      target.mColdUntil = past->second.mColdUntil;
+    }
   }
   target.mEntry = aEntry;
   // A target that announced its departure does not come back within the same life.
@@ -43,7 +48,15 @@
 
 void TargetTable::drop(std::map<TargetId, KnownTarget>::iterator aTarget)
 {
-  mByService[aTarget->second.mEntry.mService].erase(aTarget->first);
+  const KnownTarget& target = aTarget->second;
+  if (mPast.size() >= kMaxPast) {
+    mPast.clear();
+  }
+  // Without a stated start, a later life can't be told from this one.
+  if (target.mEntry.mIncarnation != Incarnation{}) {
+    mPast[aTarget->first] = { target.mEntry.mIncarnation, target.mJoinedAt, target.mColdUntil };
+  }
+  mByService[target.mEntry.mService].erase(aTarget->first);
   mTargets.erase(aTarget);
 }
 
--- a/bulrushrun/discovery/TargetTable.h
+++ b/bulrushrun/discovery/TargetTable.h
@@ -29,7 +29,8 @@
 ///
 /// An entry that vanishes may be a crash, a silent departure, or a heartbeat that could not be
 /// written while the store was away. Such a target goes on serving for a while; it is used as a
-/// last resort when more of its service vanished than stayed.
+/// last resort when more of its service vanished than stayed. One that registers again in the same
+/// life is not new.
 class TargetTable
 {
 public:
@@ -70,10 +71,22 @@
   std::size_t size() const { return mTargets.size(); }
 
 private:
+  /// What is remembered of a target that was dropped.
+  struct PastLife
+  {
+    Incarnation mIncarnation;
+    std::optional<TimePoint> mJoinedAt;
+    TimePoint mColdUntil;
+  };
+
+  /// Bounds the memory; beyond it all are forgotten, and targets that return count as new.
+  static constexpr std::size_t kMaxPast = 4096;
+
   void drop(std::map<TargetId, KnownTarget>::iterator aTarget);
 
   std::map<TargetId, KnownTarget> mTargets;
   std::map<ServiceName, std::set<TargetId>> mByService;
+  std::map<TargetId, PastLife> mPast;
   bool mComplete = false;
 };
 
--- a/bulrushrun/steering/InstanceFleet.h
+++ b/bulrushrun/steering/InstanceFleet.h
@@ -212,6 +212,7 @@
     }
   }
   std::vector<std::uint64_t> hashes;
+  hashes.reserve(zone.size());
   for (const std::string& instance : zone) {
     hashes.push_back(hashText(instance));
   }
--- a/bulrushrun/steering/tests/TargetPickerTest.cpp
+++ b/bulrushrun/steering/tests/TargetPickerTest.cpp
@@ -335,6 +335,27 @@
   EXPECT_EQ(usable(), 4U);
 }
 
+/// The pattern of a store that was away for long: registrations lapsed, and come back together.
+TEST_F(VanishedTargets, AreNotNewWhenTheyRegisterAgainInTheSameLife)
+{
+  TargetEntry entry = mTable.find(TargetId{ "t1" })->mEntry;
+  entry.mIncarnation = Incarnation{ 5 };
+  mTable.update(entry, mNow);
+  mNow += std::chrono::minutes(1);
+  mTable.remove(entry.mId, mNow);
+  mNow += TargetTable::kVanishedSpan;
+  mTable.sweep(mNow);
+  ASSERT_EQ(mTable.find(entry.mId), nullptr);
+  const TimePoint joined = mNow - std::chrono::minutes(1) - TargetTable::kVanishedSpan;
+  mTable.update(entry, mNow);
+  EXPECT_EQ(mTable.find(entry.mId)->mJoinedAt, joined);
+  mTable.remove(entry.mId, mNow);
+  mTable.sweep(mNow + TargetTable::kVanishedSpan);
+  entry.mIncarnation = Incarnation{ 6 };
+  mTable.update(entry, mNow);
+  EXPECT_EQ(mTable.find(entry.mId)->mJoinedAt, mNow) << "a new life is cold";
+}
+
 TEST_F(VanishedTargets, AreAnotherLifeWhenTheyStartAnew)
 {
   TargetEntry entry = mTable.find(TargetId{ "t1" })->mEntry;
