--- a/bulrushrun/host/Events.h
+++ b/bulrushrun/host/Events.h
@@ -40,6 +40,7 @@
 inline constexpr Event kTargetVanished{ 5005, Severity::Info, "target-vanished" };
 inline constexpr Event kTargetEntryRefused{ 5006, Severity::Warn, "target-entry-refused" };
 inline constexpr Event kTargetReplaced{ 5007, Severity::Info, "target-replaced" };
+inline constexpr Event kTargetZoneUnknown{ 5008, Severity::Warn, "target-zone-unknown" };
 inline constexpr Event kMemberJoined{ 6001, Severity::Info, "member-joined" };
 inline constexpr Event kMemberSuspected{ 6002, Severity::Debug, "member-suspected" };
 inline constexpr Event kMemberDead{ 6003, Severity::Warn, "member-dead" };
@@ -64,7 +65,7 @@
   kPlanRefused,          kZoneEvacuated,        kZoneRestored,         kFeedLost,
   kFeedRegained,         kTargetAdded,          kTargetVanished,       kTargetEntryRefused,
   kTargetReplaced,       kRequestEnded,         kRequestRefused,       kSendFailed,
-  kLookupRefused
+  kLookupRefused,        kTargetZoneUnknown
 };
 
 } // namespace bulrushrun::events
--- a/bulrushrun/routing/ZoneMap.h
+++ b/bulrushrun/routing/ZoneMap.h
@@ -40,6 +40,7 @@
     const auto found = mRegions.find(aZone);
     return found == mRegions.end() ? kUnknown : found->second;
   }
+  bool knows(const ZoneName& aZone) const { return mRegions.contains(aZone); }
   Distance distance(const ZoneName& aZone) const
   {
     if (aZone == mOwn) {
--- a/bulrushrun/steering/InstanceTables.h
+++ b/bulrushrun/steering/InstanceTables.h
@@ -272,6 +272,10 @@
       mHost.log(events::kTargetAdded,
                 "target=" + id.text() + " service=" + entry->mService.text() +
                   " address=" + entry->mEndpoint.text() + version);
+      if (!mView.mContext.mZones.knows(entry->mZone)) {
+        mHost.log(events::kTargetZoneUnknown,
+                  "target=" + id.text() + " zone=" + entry->mZone.text());
+      }
       break;
     case TargetTable::Change::Draining:
       mHost.log(events::kTargetLeaving, "target=" + id.text() + version);
--- a/bulrushrun/steering/tests/SteeringWorld.cpp
+++ b/bulrushrun/steering/tests/SteeringWorld.cpp
@@ -193,7 +193,8 @@
 void World::putTarget(const std::string& aId,
                       const std::string& aState,
                       int aSlots,
-                      int aColdMillis)
+                      int aColdMillis,
+                      const std::string& aZone)
 {
   if (!mTargets.contains(aId)) {
     mTargets[aId] = { 0x0a800000 + static_cast<std::uint32_t>(mTargets.size()), kTargetPort };
@@ -201,8 +202,8 @@
   mStore.put("servers",
              aId,
              R"({"address":")" + mTargets[aId].text() +
-               R"(","born":1,"info":{"service":"s","version":"v1","zone":"za","slots":)" +
-               std::to_string(aSlots) + R"(},"status":{"state":")" + aState +
+               R"(","born":1,"info":{"service":"s","version":"v1","zone":")" + aZone +
+               R"(","slots":)" + std::to_string(aSlots) + R"(},"status":{"state":")" + aState +
                R"(","sequence":1,"coldRemainingMs":)" + std::to_string(aColdMillis) + "}}");
 }
 
--- a/bulrushrun/steering/tests/SteeringWorld.h
+++ b/bulrushrun/steering/tests/SteeringWorld.h
@@ -114,7 +114,8 @@
   void putTarget(const std::string& aId,
                  const std::string& aState = "ready",
                  int aSlots = 4,
-                 int aColdMillis = 0);
+                 int aColdMillis = 0,
+                 const std::string& aZone = "za");
   /// \brief Writes a configuration with one route, `/a/` of host `shop`, to service `s`.
   void putPlan(int aVersion, const std::string& aKind, const std::string& aExtra = "");
   /// \brief Sends a request of a caller to an instance.
