Whole tables are read from the store, not asked of peers, while the store answers

An instance that starts asked peers for news at once, with nothing known: each of three seeds then sends a table of 0.9 MB to a third of the fleet, on links of 20 Mbit/s and a tenth of a core, while the same table comes from the store. Ruled out: relayed changes (the same a change at 30 and 100).

Peers are asked when both tables were read, or as soon as a call to the store failed.

--- a/bulrushrun/steering/InstanceTables.h
+++ b/bulrushrun/steering/InstanceTables.h
@@ -76,7 +76,6 @@
   for (Follower& follower : mFollowers) {
     follower.start();
   }
-  mNews.start();
   readInstances("");
   sweep();
 }
@@ -97,6 +96,7 @@
     onNews(aTable, mCopies[index].apply(aRows, mFollowers[index].version()));
   };
   listener.mOnAvailability = [this, index, name](bool aAvailable, const std::string& aReason) {
+    startNews();
     mHost.log(aAvailable ? events::kFeedRegained : events::kFeedLost,
               name + " version=" + std::to_string(mCopies[index].complete().value()) +
                 (aAvailable ? "" : " reason=\"" + aReason + "\""));
@@ -129,10 +129,31 @@
     mEarly.release();
     mEarlyLookups.release();
   }
+  if (areTablesRead()) {
+    startNews();
+  }
   mNews.answerWaiting();
   joinPeers();
 }
 
+template<class HostType, class Adapter>
+bool SteeringInstance<HostType, Adapter>::areTablesRead() const
+{
+  return std::none_of(
+    mCurrentAt.begin(), mCurrentAt.end(), [](TimePoint aWhen) { return aWhen == TimePoint{}; });
+}
+
+/// Peers tell changes. Whole tables come from the store, which many instances may read at once,
+/// unless it does not answer: each of a few peers would have to send them to a large part of the
+/// fleet.
+template<class HostType, class Adapter>
+void SteeringInstance<HostType, Adapter>::startNews()
+{
+  if (!std::exchange(mNewsStarted, true)) {
+    mNews.start();
+  }
+}
+
 template<class HostType, class Adapter>
 PeerNewsQuestion SteeringInstance<HostType, Adapter>::known() const
 {
@@ -181,7 +202,7 @@
   const Duration stale = fromSeconds(kStaleShare * toSeconds(tightestBound()));
   const bool joined = mGossip && mHost.now() - mRegisteredAt >= kJoinSpan;
   const bool appointed = joined && mRoles.isReader(mSettings.mInstance);
-  const bool reader = appointed || (isInformed() && known().mAge > stale);
+  const bool reader = appointed || (areTablesRead() && known().mAge > stale);
   for (Follower& follower : mFollowers) {
     follower.setActive(reader);
   }
--- a/bulrushrun/steering/SteeringInstance.h
+++ b/bulrushrun/steering/SteeringInstance.h
@@ -115,6 +115,8 @@
   // The store's tables.
   TableListener tableListener(NewsTable aTable);
   void onNews(NewsTable aTable, const Table& aNews);
+  bool areTablesRead() const;
+  void startNews();
   void setCurrent(NewsTable aTable, TimePoint aWhen);
   void chooseSource();
   void onOperatorRow(const StoreRow& aRow);
@@ -172,6 +174,7 @@
   std::function<void()> mOnClosed;
   std::function<std::size_t()> mOpenAnswers;
   bool mReadyLogged = false;
+  bool mNewsStarted = false;
 };
 
 } // namespace bulrushrun
--- a/bulrushrun/steering/tests/FleetStartTest.cpp
+++ b/bulrushrun/steering/tests/FleetStartTest.cpp
@@ -86,6 +86,23 @@
   EXPECT_EQ(again.mStoreCalls, 3 * mNames.size());
 }
 
+/// The pattern of 300 instances with 3,000 targets that start again together: each table is read
+/// from the store, and no peer has to send it to a large part of the fleet as well.
+TEST_F(AFleetThatStarts, AsksNoPeerForWholeTablesWhileTheStoreAnswers)
+{
+  for (int i = 0; i < 500; ++i) {
+    mWorld.putTarget("more" + std::to_string(i));
+  }
+  mWorld.run(std::chrono::seconds(2));
+  const std::size_t before = mWorld.mPeerBytes;
+  for (int i = 0; i < 20; ++i) {
+    mWorld.add("m" + std::to_string(i), "za").start();
+  }
+  mWorld.run(std::chrono::seconds(2));
+  constexpr std::size_t kTableBytes = 500 * 100;
+  EXPECT_LT(mWorld.mPeerBytes - before, kTableBytes) << "twenty tables would have been told";
+}
+
 /// A table of more rows than one answer holds.
 TEST_F(AFleetThatStarts, FindsItsPeersInATableOfManyInstances)
 {
--- a/bulrushrun/steering/tests/SteeringWorld.cpp
+++ b/bulrushrun/steering/tests/SteeringWorld.cpp
@@ -166,6 +166,7 @@
   const std::shared_ptr<KeptResponder> responder = std::make_shared<KeptResponder>();
   KeptResponder* raw = responder.get();
   responder->mOnEnd = [this, raw, aExchange](bool) {
+    mPeerBytes += raw->mBody.size();
     finish(aExchange, { raw->mHead, raw->mBody });
   };
   aPlace.mNode->handleNews(mExchanges.at(aExchange.value()).mRequest, responder);
--- a/bulrushrun/steering/tests/SteeringWorld.h
+++ b/bulrushrun/steering/tests/SteeringWorld.h
@@ -140,6 +140,8 @@
   std::set<std::string> mTurnedAway;
   /// Time that passes at an instance while it writes a line of its log.
   Duration mLogCost{ 0 };
+  /// Bytes of answers to questions for news.
+  std::size_t mPeerBytes = 0;
   /// Calls that reached the store.
   std::size_t mStoreCalls = 0;
 
