--- a/bulrushrun/steering/tests/FleetStartTest.cpp
+++ b/bulrushrun/steering/tests/FleetStartTest.cpp
@@ -99,7 +99,7 @@
     mWorld.add("m" + std::to_string(i), "za").start();
   }
   mWorld.run(std::chrono::seconds(2));
-  constexpr std::size_t kTableBytes = 500 * 100;
+  constexpr std::size_t kTableBytes = 50000;
   EXPECT_LT(mWorld.mPeerBytes - before, kTableBytes) << "twenty tables would have been told";
 }
 
