One page key, one fraction of a hash; the instance's tables in two files

Cause: reading the change again. Now keyBehind() in Row.h, unitOf() in Hash.h, InstanceRows.h, mEarlyRequests. Behaviour unchanged: the same expressions, moved. Ruled out: the same for rendezvousScore, whose fraction must not be zero.

--- a/bulrushrun/core/Hash.h
+++ b/bulrushrun/core/Hash.h
@@ -32,6 +32,12 @@
   return mixBits(aFirst * 0x9e3779b97f4a7c15ULL + aSecond);
 }
 
+/// \brief \returns a hash as an evenly spread number from 0 to below 1.
+constexpr double unitOf(std::uint64_t aHash)
+{
+  return static_cast<double>(aHash >> 11U) * 0x1.0p-53;
+}
+
 /// \brief \returns 16 hexadecimal digits.
 std::string toHex(std::uint64_t aValue);
 
--- a/bulrushrun/core/Random.h
+++ b/bulrushrun/core/Random.h
@@ -38,7 +38,7 @@
   }
 
   /// \brief \returns a real number in [0, 1).
-  double unit() { return static_cast<double>(next() >> 11U) * 0x1.0p-53; }
+  double unit() { return unitOf(next()); }
 
   /// \brief \returns true with the given probability.
   bool chance(double aProbability) { return unit() < aProbability; }
--- a/bulrushrun/steering/InstanceFleet.h
+++ b/bulrushrun/steering/InstanceFleet.h
@@ -109,8 +109,7 @@
     }
   }
   if (aBatch.mMore && !aBatch.mRows.empty()) {
-    // The smallest key that sorts behind the last one.
-    readInstances(aBatch.mRows.back().mKey + '\x01');
+    readInstances(keyBehind(aBatch.mRows.back()));
   } else if (mRowStands) {
     onRegistered(aBatch.mVersion);
   } else {
--- a/bulrushrun/steering/InstanceTables.h
+++ b/bulrushrun/steering/InstanceTables.h
@@ -3,7 +3,7 @@
 #include "bulrushrun/steering/SteeringInstance.h"
 
 /// \file
-/// \brief SteeringInstance: what the store's tables say.
+/// \brief SteeringInstance: how the store's tables are read, followed and told.
 
 namespace bulrushrun {
 
@@ -27,10 +27,10 @@
   : mHost(aHost)
   , mSettings(aSettings)
   , mCarrier(aHost, mView)
-  , mEarly(aHost,
-           [this](HttpRequest aRequest, ResponderPtr aResponder, TimePoint aArrived) {
-             mCarrier.accept(std::move(aRequest), std::move(aResponder), aArrived);
-           })
+  , mEarlyRequests(aHost,
+                   [this](HttpRequest aRequest, ResponderPtr aResponder, TimePoint aArrived) {
+                     mCarrier.accept(std::move(aRequest), std::move(aResponder), aArrived);
+                   })
   , mEarlyLookups(aHost,
                   [this](const HttpRequest& aRequest, const ResponderPtr& aResponder, TimePoint) {
                     answerLookup(aRequest, aResponder);
@@ -126,7 +126,7 @@
     mView.mTargets.setComplete();
   }
   if (isInformed()) {
-    mEarly.release();
+    mEarlyRequests.release();
     mEarlyLookups.release();
   }
   if (areTablesRead()) {
@@ -208,115 +208,4 @@
   }
 }
 
-template<class HostType, class Adapter>
-void SteeringInstance<HostType, Adapter>::onOperatorRow(const StoreRow& aRow)
-{
-  if (const std::optional<ZoneName> zone = Adapter::evacuatedZone(aRow.mKey)) {
-    std::set<ZoneName> evacuated = mView.mContext.mEvacuated;
-    if (aRow.mRemoved) {
-      evacuated.erase(*zone);
-    } else {
-      evacuated.insert(*zone);
-    }
-    setEvacuated(std::move(evacuated));
-  } else if (Adapter::isPlanKey(aRow.mKey) && !aRow.mRemoved) {
-    onPlanText(aRow.mValue);
-  }
-}
-
-template<class HostType, class Adapter>
-void SteeringInstance<HostType, Adapter>::setEvacuated(std::set<ZoneName> aZones)
-{
-  std::set<ZoneName>& before = mView.mContext.mEvacuated;
-  for (const ZoneName& zone : aZones) {
-    if (!before.contains(zone)) {
-      mHost.log(events::kZoneEvacuated, "zone=" + zone.text());
-    }
-  }
-  for (const ZoneName& zone : before) {
-    if (!aZones.contains(zone)) {
-      mHost.log(events::kZoneRestored, "zone=" + zone.text());
-      Duration span{ 0 };
-      for (const ServiceTerms& terms :
-           mView.mPlan ? mView.mPlan->mServices : std::vector<ServiceTerms>{}) {
-        span = std::max(span, terms.mColdSpan);
-      }
-      // Without work the targets may have become cold.
-      mView.mTargets.setZoneCold(zone, mHost.now() + span);
-    }
-  }
-  before = std::move(aZones);
-}
-
-template<class HostType, class Adapter>
-void SteeringInstance<HostType, Adapter>::onPlanText(const std::string& aText)
-{
-  std::string reason;
-  std::optional<RoutePlan> plan = Adapter::readPlan(aText, reason);
-  if (!plan) {
-    mHost.log(events::kPlanRefused, "reason=\"" + reason + "\"");
-    return;
-  }
-  if (mView.mPlan != nullptr && plan->mVersion <= mView.mPlan->mVersion) {
-    return;
-  }
-  mHost.log(events::kPlanAdopted,
-            "version=" + std::to_string(plan->mVersion.value()) +
-              " routes=" + std::to_string(plan->mRoutes.size()));
-  mView.mPlan = std::make_shared<const RoutePlan>(std::move(*plan));
-  if (mOnLimits) {
-    mOnLimits(mView.mPlan->mLimits);
-  }
-}
-
-template<class HostType, class Adapter>
-void SteeringInstance<HostType, Adapter>::onTargetRow(const StoreRow& aRow)
-{
-  const TimePoint now = mHost.now();
-  const TargetId id{ aRow.mKey };
-  const std::string version = " row_version=" + std::to_string(aRow.mVersion.value());
-  std::string reason;
-  const std::optional<TargetEntry> entry =
-    aRow.mRemoved ? std::nullopt : Adapter::readTarget(aRow.mKey, aRow.mValue, reason);
-  if (!entry) {
-    if (!aRow.mRemoved && mReportedEntries.insert(aRow.mKey).second) {
-      mHost.log(events::kTargetEntryRefused, "target=" + id.text() + " reason=\"" + reason + "\"");
-    }
-    if (mView.mTargets.remove(id, now)) {
-      mHost.log(events::kTargetVanished, "target=" + id.text() + version);
-    }
-    return;
-  }
-  switch (mView.mTargets.update(*entry, now)) {
-    case TargetTable::Change::Added:
-    case TargetTable::Change::Restarted:
-      mHost.log(events::kTargetAdded,
-                "target=" + id.text() + " service=" + entry->mService.text() +
-                  " address=" + entry->mEndpoint.text() + version);
-      if (!mView.mContext.mZones.knows(entry->mZone)) {
-        mHost.log(events::kTargetZoneUnknown,
-                  "target=" + id.text() + " zone=" + entry->mZone.text());
-      }
-      break;
-    case TargetTable::Change::Draining:
-      mHost.log(events::kTargetLeaving, "target=" + id.text() + version);
-      break;
-    default:
-      break;
-  }
-}
-
-template<class HostType, class Adapter>
-void SteeringInstance<HostType, Adapter>::onTargetNews(const TargetId& aTarget,
-                                                       const AnswerFacts& aFacts)
-{
-  if (aFacts.mMisdirected) {
-    mView.mTargets.setReplaced(aTarget);
-    mHost.log(events::kTargetReplaced, "target=" + aTarget.text());
-  }
-  if (aFacts.mColdRemaining) {
-    mView.mTargets.setCold(aTarget, mHost.now() + *aFacts.mColdRemaining);
-  }
-}
-
 } // namespace bulrushrun
--- a/bulrushrun/steering/SteeringInstance.h
+++ b/bulrushrun/steering/SteeringInstance.h
@@ -44,7 +44,7 @@
     if (isInformed()) {
       mCarrier.accept(std::move(aRequest), std::move(aResponder), mHost.now());
     } else {
-      mEarly.hold(std::move(aRequest), std::move(aResponder));
+      mEarlyRequests.hold(std::move(aRequest), std::move(aResponder));
     }
   }
   /// \brief Handles a caller's look-up of instances.
@@ -150,7 +150,7 @@
   SteeringSettings mSettings;
   SteeringView mView;
   RequestCarrier<HostType, Adapter> mCarrier;
-  EarlyRequests<HostType> mEarly;
+  EarlyRequests<HostType> mEarlyRequests;
   EarlyRequests<HostType> mEarlyLookups;
   std::array<Follower, kNewsTables> mFollowers;
   std::array<TableCopy, kNewsTables> mCopies;
@@ -181,6 +181,8 @@
 
 // Member functions, by duty: the store's tables.
 #include "bulrushrun/steering/InstanceTables.h"
+// Their rows.
+#include "bulrushrun/steering/InstanceRows.h"
 // The other instances.
 #include "bulrushrun/steering/InstanceFleet.h"
 // Look-ups, readiness, metrics and the planned stop.
--- a/bulrushrun/steering/TargetPicker.cpp
+++ b/bulrushrun/steering/TargetPicker.cpp
@@ -74,8 +74,8 @@
     all += slots;
   }
   constexpr std::uint64_t kSalt = 0x6e656172;
-  const double place = static_cast<double>(combineHashes(aQuery.mObject, kSalt) >> 11U) * 0x1.0p-53;
-  return place * all < near * static_cast<double>(aContext.mZones.zoneCount());
+  return unitOf(combineHashes(aQuery.mObject, kSalt)) * all <
+         near * static_cast<double>(aContext.mZones.zoneCount());
 }
 
 TargetPicker::Preference TargetPicker::prefer(const PickQuery& aQuery,
--- a/bulrushrun/store/Row.h
+++ b/bulrushrun/store/Row.h
@@ -26,6 +26,12 @@
   bool mMore = false;
 };
 
+/// \brief \returns the smallest key that sorts behind a row's, where the next page begins.
+inline std::string keyBehind(const StoreRow& aRow)
+{
+  return aRow.mKey + '\x01';
+}
+
 /// \brief How a read of the rows store ended.
 enum class RowReadStatus
 {
--- a/bulrushrun/store/TableFollower.h
+++ b/bulrushrun/store/TableFollower.h
@@ -110,8 +110,7 @@
     std::vector<StoreRow>& rows = aResult.mBatch.mRows;
     mPending.insert(mPending.end(), rows.begin(), rows.end());
     if (aResult.mBatch.mMore && !rows.empty()) {
-      // The smallest key that sorts behind the last one.
-      readPage(rows.back().mKey + '\x01');
+      readPage(keyBehind(rows.back()));
       return;
     }
     succeed();
