--- /dev/null
+++ b/bench/credit_by_cause.py
@@ -0,0 +1,72 @@
+#!/usr/bin/env python3
+"""Divides the credit that a day lost by cause, from the bench's report and the instances' logs.
+
+    bench/credit_by_cause.py REPORT.json LOG AIM_MS[:SERVICE] ...
+
+LOG is what `fleetbench run ... --log all` wrote to its error stream. AIM_MS is the time within which an answer earns
+its full credit; with a service's name on the wire it holds for that one only. A late answer counts as a cold
+run when it was the first one of its object at its target, else as repeated when it took more than one send, else
+as queue. Shares are parts of all requests in the log; late ones lose 0.8 of their credit.
+"""
+import collections
+import json
+import re
+import sys
+
+FIELD = re.compile(r'(\w+)=("[^"]*"|\S+)')
+LATE_LOSS = 0.8
+
+
+def requests(path):
+    """Yields the fields of each BR-8001 line, in order of time."""
+    lines = []
+    with open(path, errors="replace") as log:
+        for line in log:
+            if "BR-8001" in line:
+                fields = dict(FIELD.findall(line))
+                if fields.get("object", "-") != "-":
+                    lines.append((float(line.split(None, 1)[0]), fields))
+    lines.sort(key=lambda entry: entry[0])
+    return [fields for _, fields in lines]
+
+
+def main():
+    if len(sys.argv) < 4:
+        sys.exit(__doc__)
+    aims = {}
+    for text in sys.argv[3:]:
+        aim, _, service = text.partition(":")
+        aims[service] = float(aim)
+    with open(sys.argv[1]) as report_file:
+        report = json.load(report_file)
+    seen = set()
+    count = collections.Counter()
+    lost = collections.Counter()
+    for request in requests(sys.argv[2]):
+        service = request["service"]
+        if service not in aims and "" not in aims:
+            continue
+        count["all"] += 1
+        pair = (request["target"], request["object"])
+        first = pair not in seen
+        outcome = request["outcome"]
+        if outcome == "answered":
+            seen.add(pair)
+            if float(request["ms"]) <= aims.get(service, aims.get("", 0)):
+                continue
+            cause = "cold run" if first else "repeated" if request["sends"] != "1" else "queue"
+            lost[cause] += LATE_LOSS
+        else:
+            cause = {"refused": "refused", "dropped": "caller left"}.get(outcome, "broken off or failed")
+            lost[cause] += 1
+        count[cause] += 1
+    total = max(1, count["all"])
+    print(f"{count['all']} requests; worth {report.get('G', 0):.3f}, whole day {report['all']['worth']:.3f}")
+    for cause, credit in lost.most_common():
+        print(f"  {cause:22} {count[cause]:7} requests  {credit / total:7.4f} of the credit")
+    for price in report.get("prices", []):
+        print("  price", price)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bulrushrun/steering/tests/TargetPool.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "bulrushrun/steering/TargetPicker.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+
+namespace bulrushrun {
+
+/// Story: one service of 18 targets with three slots each, in six zones of three regions.
+class APool : public ::testing::Test
+{
+protected:
+  static constexpr int kTargets = 18;
+
+  APool()
+  {
+    for (int i = 0; i < kTargets; ++i) {
+      TargetEntry entry;
+      entry.mId = TargetId{ "t" + std::to_string(i) };
+      entry.mService = ServiceName{ "s" };
+      entry.mSlots = 3;
+      entry.mZone = ZoneName{ "z" + std::to_string(i % 6) };
+      mTable.update(entry, mNow);
+    }
+    std::map<ZoneName, RegionName> regions;
+    for (int i = 0; i < 6; ++i) {
+      regions[ZoneName{ "z" + std::to_string(i) }] = RegionName{ "r" + std::to_string(i / 2) };
+    }
+    mContext.mZones = ZoneMap{ ZoneName{ "z0" }, regions };
+    mTable.setComplete();
+    mNow += std::chrono::seconds(10);
+  }
+
+  Pick pick(const PickQuery& aQuery)
+  {
+    return mPicker.pick(aQuery, mTable.usable(ServiceName{ "s" }, mNow), mContext, mNow);
+  }
+  Pick pickObject(std::uint64_t aObject)
+  {
+    PickQuery query;
+    query.mAffinity = Affinity::Object;
+    query.mObject = mixBits(aObject);
+    return pick(query);
+  }
+  TargetId homeOf(std::uint64_t aObject) { return pickObject(aObject).mTarget->mEntry.mId; }
+  void send(const TargetId& aTarget, int aCount = 1)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      mPicker.stats(aTarget).onSent(mNow);
+    }
+  }
+
+  TimePoint mNow{ std::chrono::seconds(100) };
+  TargetTable mTable;
+  TargetPicker mPicker;
+  PickContext mContext;
+};
+
+} // namespace bulrushrun
