--- a/bulrushrun/host/EventCatalogue.h
+++ b/bulrushrun/host/EventCatalogue.h
@@ -41,6 +41,9 @@
 inline constexpr Event kTargetEntryRefused{ 5006, Severity::Warn, "target-entry-refused" };
 inline constexpr Event kTargetReplaced{ 5007, Severity::Info, "target-replaced" };
 inline constexpr Event kTargetZoneUnknown{ 5008, Severity::Warn, "target-zone-unknown" };
+inline constexpr Event kObjectPlaced{ 5009, Severity::Info, "object-placed" };
+inline constexpr Event kPlacementsUnreadable{ 5010, Severity::Warn, "placements-unreadable" };
+inline constexpr Event kPlacementsLoaded{ 5011, Severity::Info, "placements-loaded" };
 inline constexpr Event kMemberJoined{ 6001, Severity::Info, "member-joined" };
 inline constexpr Event kMemberSuspected{ 6002, Severity::Debug, "member-suspected" };
 inline constexpr Event kMemberDead{ 6003, Severity::Warn, "member-dead" };
@@ -65,7 +68,8 @@
   kPlanRefused,          kZoneEvacuated,        kZoneRestored,         kFeedLost,
   kFeedRegained,         kTargetAdded,          kTargetVanished,       kTargetEntryRefused,
   kTargetReplaced,       kRequestEnded,         kRequestRefused,       kSendFailed,
-  kLookupRefused,        kTargetZoneUnknown
+  kLookupRefused,        kTargetZoneUnknown,    kObjectPlaced,         kPlacementsUnreadable,
+  kPlacementsLoaded
 };
 
 } // namespace bulrushrun::events
--- a/bulrushrun/membership/Gossip.h
+++ b/bulrushrun/membership/Gossip.h
@@ -29,6 +29,9 @@
   std::function<void(const LeavingNotice&)> mOnLeavingNotice;
   /// \returns the notices of leaving targets to send to peers.
   std::function<std::vector<LeavingNotice>()> mNotices;
+  /// Runs for an authentic message of another protocol that shares the messages' envelope.
+  /// \returns false when the payload is malformed
+  std::function<bool(std::string_view)> mOnOtherPayload = [](std::string_view) { return false; };
 };
 
 /// \brief SWIM-style membership protocol: failure detection at constant cost per instance, with
@@ -72,6 +75,9 @@
   /// \brief Pings an address, unless it belongs to a known member that is not dead.
   void pingIfUnknown(const Endpoint& aPeer);
 
+  /// \brief Sends the payload of another protocol to a peer, in the envelope of gossip messages.
+  void sendPayload(const Endpoint& aPeer, const std::string& aPayload);
+
   /// \brief \returns all known members, including this instance.
   const MemberTable& table() const { return mTable; }
   const Member& self() const { return mSelf; }
--- a/bulrushrun/membership/GossipMessageHandling.h
+++ b/bulrushrun/membership/GossipMessageHandling.h
@@ -22,6 +22,14 @@
   mHost.sendToPeer(aPeer, bytes);
 }
 
+template<class HostType>
+void Gossip<HostType>::sendPayload(const Endpoint& aPeer, const std::string& aPayload)
+{
+  const std::string bytes = mAuthenticator.sign(aPayload);
+  mBytesSent += bytes.size();
+  mHost.sendToPeer(aPeer, bytes);
+}
+
 template<class HostType>
 void Gossip<HostType>::sendPing(const Endpoint& aPeer,
                                 std::uint64_t aSequenceNumber,
@@ -40,6 +48,9 @@
   const std::optional<std::string> payload = mAuthenticator.verify(aBytes);
   const std::optional<GossipMessage> message =
     payload ? decodeGossip(*payload) : std::optional<GossipMessage>{};
+  if (!message && payload && mListener.mOnOtherPayload(*payload)) {
+    return;
+  }
   if (!message) {
     ++mDroppedMessages;
     mHost.log(events::kMessageDropped,
--- /dev/null
+++ b/bulrushrun/placement/PlacementPolicy.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "bulrushrun/placement/PlacementTable.h"
+#include "bulrushrun/routing/ZoneTopology.h"
+
+#include <optional>
+#include <vector>
+
+namespace bulrushrun {
+
+/// \brief Target that may keep an object.
+struct PlacementCandidate
+{
+  TargetHash mTarget;
+  int mSlots = 1;
+  Distance mDistance = Distance::OtherRegion;
+  /// Position in the object's own order of targets; higher values come first.
+  double mRank = 0;
+};
+
+/// \brief Chooses the target of an object at its first sight: consistent hashing with bounded
+/// loads, nearest targets first.
+///
+/// A target takes objects while it holds no more than a fixed factor of its share of all objects
+/// placed at the candidates, so that no target queues while others are free. Among targets below
+/// that bound, the nearest is chosen, then the first in the object's own order; the same objects
+/// therefore mostly return to the same targets when all placements are lost.
+/// \returns the chosen target, or nothing when there are no candidates
+std::optional<TargetHash> choosePlacement(const PlacementTable& aTable,
+                                          const std::vector<PlacementCandidate>& aCandidates);
+
+/// \brief \returns the target to which an object should move because the target that keeps it holds
+/// several times as many objects a slot as another one; usually nothing.
+std::optional<TargetHash> chooseRelief(const PlacementTable& aTable,
+                                       const PlacementCandidate& aKeeper,
+                                       const std::vector<PlacementCandidate>& aCandidates);
+
+} // namespace bulrushrun
--- /dev/null
+++ b/bulrushrun/placement/PlacementReplicator.h
@@ -0,0 +1,328 @@
+#pragma once
+
+#include "bulrushrun/host.h"
+#include "bulrushrun/membership.h"
+#include "bulrushrun/placement/PlacementMessage.h"
+#include "bulrushrun/placement/PlacementTable.h"
+#include "bulrushrun/routing/Rendezvous.h"
+#include "bulrushrun/store.h"
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace bulrushrun {
+
+/// \brief Path under which instances request all placements from each other.
+inline constexpr const char* kPeerPlacementsPath = "/peer/placements";
+
+/// \brief Where an instance reads and saves placements.
+struct PlacementSource
+{
+  Endpoint mStore;
+  /// Table of the instances, which is read at the start in any case.
+  std::string mStoreTable;
+  /// Shared keys of the instances; the first one signs.
+  std::vector<std::string> mKeys;
+  /// \returns an instance to ask while the store does not respond.
+  std::function<std::optional<Endpoint>()> mChoosePeer;
+};
+
+/// \brief Announces the placements of this instance to the others, and keeps a copy of all
+/// placements in the store, so that objects return to their warm targets after a restart of the
+/// whole fleet.
+///
+/// An announcement goes to the other instances of the zone and to one instance of each other zone,
+/// which forwards it there. The table is saved in a fixed number of rows, each by the instance that
+/// rendezvous hashing assigns it to; when views of the membership differ, a row is written twice.
+///
+/// \tparam StoreProtocol  encoding of the store's calls
+template<class HostType, class StoreProtocol>
+class PlacementReplicator
+{
+public:
+  PlacementReplicator(HostType& aHost, PlacementTable& aPlacements, PlacementSource aSource)
+    : mHost(aHost)
+    , mPlacements(aPlacements)
+    , mSource(std::move(aSource))
+  {
+  }
+
+  /// \brief Starts to wait for the saved placements.
+  void start();
+  /// \brief \returns true for the key of a row with saved placements.
+  static bool isSavedRow(const std::string& aKey) { return aKey.starts_with(kRowPrefix); }
+  /// \brief Takes the placements in a row that was read from the store.
+  void onSavedRow(const StoreRow& aRow);
+  /// \brief Ends the wait: all saved rows have been read.
+  void onSavedRowsRead() { onLoaded("store"); }
+  /// \brief Starts to announce and save placements.
+  void join(Gossip<HostType>& aGossip)
+  {
+    mGossip = &aGossip;
+    savePeriodically();
+  }
+  /// \brief Announces a placement with the next batch.
+  void announce(const Placement& aPlacement);
+  /// \brief Takes the placements in a message. \returns false when the message is malformed
+  bool receive(std::string_view aPayload);
+  /// \brief Handles a peer's request for all placements. \returns false when the request is another
+  /// one
+  bool handlePeerRequest(const HttpRequest& aRequest, typename HostType::ResponderType& aResponder);
+  /// \brief \returns the number of rows written to the store since the start.
+  std::uint64_t storeCalls() const { return mStoreCalls; }
+
+private:
+  /// Keys of the rows in the instances' table; sorts after the names of instances.
+  static constexpr const char* kRowPrefix = "~placements-";
+  /// Placements made within this time are announced together.
+  static constexpr Duration kBatchDelay = std::chrono::milliseconds(10);
+  static constexpr Duration kSaveCheckPeriod = std::chrono::milliseconds(500);
+  /// Bounds of the time between two writes of a row; doubles with each write.
+  static constexpr Duration kMinSaveInterval = std::chrono::seconds(1);
+  static constexpr Duration kMaxSaveInterval = std::chrono::seconds(8);
+  static constexpr Duration kCallTimeout = std::chrono::milliseconds(1500);
+  static constexpr Duration kRetryDelay = std::chrono::milliseconds(400);
+  /// Time for the store to respond before peers are asked: two round trips between regions.
+  static constexpr Duration kPeerLoadDelay = std::chrono::milliseconds(300);
+  /// Time after which objects are placed although no placements could be read.
+  static constexpr Duration kLoadTimeout = std::chrono::seconds(2);
+  static constexpr std::size_t kMaxResponseBytes = std::size_t{ 1024 } * 1024;
+
+  /// Progress of saving one part of the table.
+  struct SavedPart
+  {
+    std::uint64_t mChanges = 0;
+    Duration mInterval = kMinSaveInterval;
+    TimePoint mNextAt;
+  };
+
+  void sendBatch();
+  void sendToZone(const std::vector<Placement>& aPlacements);
+  void loadFromPeer();
+  bool mergeMessage(const std::optional<PlacementMessage>& aMessage);
+  void onLoaded(const char* aSource);
+  void savePeriodically();
+  bool isWriter(std::size_t aPart) const;
+  void save(std::size_t aPart);
+
+  HostType& mHost;
+  PlacementTable& mPlacements;
+  PlacementSource mSource;
+  bool mLoaded = false;
+  Gossip<HostType>* mGossip = nullptr;
+  std::vector<Placement> mBatch;
+  std::array<SavedPart, PlacementTable::kParts> mSaved;
+  std::uint64_t mStoreCalls = 0;
+};
+
+template<class HostType, class StoreProtocol>
+void PlacementReplicator<HostType, StoreProtocol>::announce(const Placement& aPlacement)
+{
+  mBatch.push_back(aPlacement);
+  if (mBatch.size() == 1) {
+    mHost.after(kBatchDelay, [this] { sendBatch(); });
+  }
+}
+
+template<class HostType, class StoreProtocol>
+void PlacementReplicator<HostType, StoreProtocol>::sendBatch()
+{
+  const std::vector<Placement> batch = std::exchange(mBatch, {});
+  if (mGossip == nullptr) {
+    return;
+  }
+  sendToZone(batch);
+  const ZoneName& ownZone = mGossip->self().mZone;
+  std::set<ZoneName> zones;
+  for (const Member& member : mGossip->table().all()) {
+    if (member.mZone == ownZone || !zones.insert(member.mZone).second) {
+      continue;
+    }
+    const std::vector<Member> relays = relaysOf(mGossip->table(), member.mZone);
+    if (!relays.empty()) {
+      const Endpoint& peer = relays[mHost.random().below(relays.size())].mPeer;
+      for (const std::string& message : encodePlacements(batch, true)) {
+        mGossip->sendPayload(peer, message);
+      }
+    }
+  }
+}
+
+template<class HostType, class StoreProtocol>
+void PlacementReplicator<HostType, StoreProtocol>::sendToZone(
+  const std::vector<Placement>& aPlacements)
+{
+  const std::vector<std::string> messages = encodePlacements(aPlacements, false);
+  for (const Member& member : mGossip->table().all()) {
+    const bool isPeer = member.mId != mGossip->self().mId && member.mState != MemberState::Dead &&
+                        member.mZone == mGossip->self().mZone;
+    for (std::size_t i = 0; isPeer && i < messages.size(); ++i) {
+      mGossip->sendPayload(member.mPeer, messages[i]);
+    }
+  }
+}
+
+template<class HostType, class StoreProtocol>
+bool PlacementReplicator<HostType, StoreProtocol>::receive(std::string_view aPayload)
+{
+  const std::optional<PlacementMessage> message = decodePlacements(aPayload);
+  if (!message) {
+    return false;
+  }
+  mergeMessage(message);
+  if (message->mForward && mGossip != nullptr) {
+    sendToZone(message->mPlacements);
+  }
+  return true;
+}
+
+template<class HostType, class StoreProtocol>
+void PlacementReplicator<HostType, StoreProtocol>::start()
+{
+  mHost.after(kPeerLoadDelay, [this] { loadFromPeer(); });
+  mHost.after(kLoadTimeout, [this] { mPlacements.setComplete(); });
+}
+
+template<class HostType, class StoreProtocol>
+void PlacementReplicator<HostType, StoreProtocol>::onSavedRow(const StoreRow& aRow)
+{
+  if (!mergeMessage(decodePlacements(aRow.mValue))) {
+    mHost.log(events::kPlacementsUnreadable, "key=" + aRow.mKey);
+  }
+}
+
+/// Asks another instance while the store does not respond.
+template<class HostType, class StoreProtocol>
+void PlacementReplicator<HostType, StoreProtocol>::loadFromPeer()
+{
+  const std::optional<Endpoint> peer = mLoaded ? std::nullopt : mSource.mChoosePeer();
+  if (!peer) {
+    return;
+  }
+  HttpRequest request;
+  request.mMethod = "GET";
+  request.mPath = kPeerPlacementsPath;
+  startBufferedExchange(mHost,
+                        *peer,
+                        std::move(request),
+                        kCallTimeout,
+                        kMaxResponseBytes,
+                        [this](ExchangeResult aResult, const HttpResponse& aResponse) {
+                          const std::optional<std::string_view> payload =
+                            aResult == ExchangeResult::Complete && aResponse.mHead.mStatus == 200
+                              ? verifyPayload(aResponse.mBody, mSource.mKeys)
+                              : std::nullopt;
+                          if (payload && mergeMessage(decodePlacements(*payload))) {
+                            onLoaded("peer");
+                          } else {
+                            mHost.after(kRetryDelay, [this] { loadFromPeer(); });
+                          }
+                        });
+}
+
+template<class HostType, class StoreProtocol>
+bool PlacementReplicator<HostType, StoreProtocol>::handlePeerRequest(
+  const HttpRequest& aRequest,
+  typename HostType::ResponderType& aResponder)
+{
+  if (aRequest.mPath != kPeerPlacementsPath) {
+    return false;
+  }
+  constexpr int kUnavailable = 503;
+  HttpResponse response;
+  response.mHead.mHeaders = { { "Content-Type", "application/octet-stream" } };
+  if (mLoaded) {
+    response.mBody = signPayload(encodeAllPlacements(mPlacements.all()), mSource.mKeys.front());
+  } else {
+    response.mHead.mStatus = kUnavailable;
+  }
+  respond(aResponder, response);
+  return true;
+}
+
+template<class HostType, class StoreProtocol>
+bool PlacementReplicator<HostType, StoreProtocol>::mergeMessage(
+  const std::optional<PlacementMessage>& aMessage)
+{
+  if (!aMessage) {
+    return false;
+  }
+  for (const Placement& placement : aMessage->mPlacements) {
+    mPlacements.merge(placement, mHost.now());
+  }
+  return true;
+}
+
+template<class HostType, class StoreProtocol>
+void PlacementReplicator<HostType, StoreProtocol>::onLoaded(const char* aSource)
+{
+  if (std::exchange(mLoaded, true)) {
+    return;
+  }
+  mHost.log(events::kPlacementsLoaded,
+            std::string("source=") + aSource + " objects=" + std::to_string(mPlacements.size()));
+  mPlacements.setComplete();
+  for (std::size_t part = 0; part < mSaved.size(); ++part) {
+    mSaved[part].mChanges = mPlacements.changes(part);
+  }
+}
+
+template<class HostType, class StoreProtocol>
+void PlacementReplicator<HostType, StoreProtocol>::savePeriodically()
+{
+  mPlacements.sweep(mHost.now());
+  for (std::size_t part = 0; part < mSaved.size(); ++part) {
+    const SavedPart& saved = mSaved[part];
+    if (mLoaded && saved.mChanges != mPlacements.changes(part) && mHost.now() >= saved.mNextAt &&
+        isWriter(part)) {
+      save(part);
+    }
+  }
+  mHost.after(kSaveCheckPeriod, [this] { savePeriodically(); });
+}
+
+template<class HostType, class StoreProtocol>
+bool PlacementReplicator<HostType, StoreProtocol>::isWriter(std::size_t aPart) const
+{
+  std::vector<Member> members = mGossip->table().all();
+  std::erase_if(members,
+                [](const Member& aMember) { return aMember.mState != MemberState::Alive; });
+  const Member* writer = rendezvousWinner(
+    mixBits(aPart),
+    members,
+    [](const Member&) { return 1.0; },
+    [](const Member& aMember) { return hashText(aMember.mId.text()); });
+  return writer != nullptr && writer->mId == mGossip->self().mId;
+}
+
+template<class HostType, class StoreProtocol>
+void PlacementReplicator<HostType, StoreProtocol>::save(std::size_t aPart)
+{
+  ++mStoreCalls;
+  SavedPart& saved = mSaved[aPart];
+  saved.mNextAt = mHost.now() + saved.mInterval;
+  saved.mInterval = std::min(2 * saved.mInterval, kMaxSaveInterval);
+  const std::uint64_t changes = mPlacements.changes(aPart);
+  startBufferedExchange(
+    mHost,
+    mSource.mStore,
+    StoreProtocol::makeWriteRequest(mSource.mStoreTable,
+                                    kRowPrefix + std::to_string(aPart),
+                                    encodeSavedPlacements(mPlacements.part(aPart))),
+    kCallTimeout,
+    kMaxResponseBytes,
+    [this, aPart, changes](ExchangeResult aResult, const HttpResponse& aResponse) {
+      if (aResult == ExchangeResult::Complete && StoreProtocol::parseWriteResponse(aResponse)) {
+        mSaved[aPart].mChanges = changes;
+      }
+    });
+}
+
+} // namespace bulrushrun
--- a/bulrushrun/steering/RequestProxy.h
+++ b/bulrushrun/steering/RequestProxy.h
@@ -83,6 +83,12 @@
   {
     mOnTargetUpdate = std::move(aOnUpdate);
   }
+  /// \brief Sets the callback for objects that were placed at a target.
+  void setOnPlaced(std::function<void(const Placement&)> aOnPlaced)
+  {
+    mOnPlaced = std::move(aOnPlaced);
+  }
+  PlacementTable& placements() { return mPicker.placements(); }
 
 private:
   using Request = ProxiedRequest<ResponderType>;
@@ -117,6 +123,7 @@
   void apply(RequestId aId, RequestEvent aEvent);
   void perform(Request& aRequest, RequestAction aAction);
   void dispatch(Request& aRequest);
+  void announcePlacement(const Request& aRequest, const Placement& aPlacement);
   void retry(Request& aRequest);
   bool mayRetry(const Request& aRequest);
   void respondNotRun(Request& aRequest);
@@ -158,6 +165,7 @@
   std::map<ServiceName, Duration> mLatencies;
   std::map<std::string, WeightedRoundRobin> mServiceSplits;
   std::function<void(const TargetId&, const ResponseMetadata&)> mOnTargetUpdate;
+  std::function<void(const Placement&)> mOnPlaced;
   RequestProxyCounters mCounters;
   ServiceMetrics mMetrics;
   RequestId mLastId;
--- a/bulrushrun/steering/RequestProxyActions.h
+++ b/bulrushrun/steering/RequestProxyActions.h
@@ -92,6 +92,9 @@
   aRequest.mColdLimited = pick.mColdLimited;
   aRequest.mLoad = pick.mLoad;
   aRequest.mPreferenceRank = pick.mPreferenceRank;
+  if (pick.mPlaced) {
+    announcePlacement(aRequest, *pick.mPlaced);
+  }
   if (pick.mTarget == nullptr) {
     if (aRequest.mReason.empty()) {
       aRequest.mReason =
@@ -103,6 +106,22 @@
   startAttempt(aRequest, pick);
 }
 
+template<class HostType, class Codec>
+void RequestProxy<HostType, Codec>::announcePlacement(const Request& aRequest,
+                                                      const Placement& aPlacement)
+{
+  mHost.log(events::kObjectPlaced,
+            "service=" + aRequest.mService.text() +
+              " object=" + aRequest.mMetadata.mAffinityKey.value_or("-") +
+              " target_hash=" + toHex(aPlacement.mTarget.value()) + " generation=" +
+              std::to_string(aPlacement.mGeneration.value()) + " objects_at_target=" +
+              std::to_string(mPicker.placements().objectsAt(aPlacement.mTarget)) +
+              " id=" + aRequest.mMetadata.mId);
+  if (mOnPlaced) {
+    mOnPlaced(aPlacement);
+  }
+}
+
 template<class HostType, class Codec>
 bool RequestProxy<HostType, Codec>::mayRetry(const Request& aRequest)
 {
--- a/bulrushrun/steering/SteeringInstance.h
+++ b/bulrushrun/steering/SteeringInstance.h
@@ -3,6 +3,7 @@
 #include "bulrushrun/drain.h"
 #include "bulrushrun/host.h"
 #include "bulrushrun/membership.h"
+#include "bulrushrun/placement.h"
 #include "bulrushrun/steering/RequestProxy.h"
 #include "bulrushrun/steering/StartupQueue.h"
 #include "bulrushrun/steering/SteeringSettings.h"
@@ -167,6 +168,7 @@
   /// When each table was last known to match the store's.
   std::array<TimePoint, kReplicatedTables> mSyncedAt;
   PeerReplicator<HostType> mPeerReplication;
+  PlacementReplicator<HostType, StoreProtocol> mPlacementReplicator;
   DrainSequence<HostType> mDrain;
   std::unique_ptr<Gossip<HostType>> mGossip;
   ReplicationRoles mReplicationRoles;
--- a/bulrushrun/steering/SteeringInstanceMembership.h
+++ b/bulrushrun/steering/SteeringInstanceMembership.h
@@ -13,7 +13,8 @@
   return { [this] { updateMembership(); },
            [](ConfigurationVersion, const Member&) {},
            [](const LeavingNotice&) {},
-           [] { return std::vector<LeavingNotice>{}; } };
+           [] { return std::vector<LeavingNotice>{}; },
+           [this](std::string_view aPayload) { return mPlacementReplicator.receive(aPayload); } };
 }
 
 template<class HostType, class Adapter>
@@ -102,6 +103,10 @@
 void SteeringInstance<HostType, Adapter>::onInstances(const RowBatch& aBatch)
 {
   for (const StoreRow& row : aBatch.mRows) {
+    if (mPlacementReplicator.isSavedRow(row.mKey)) {
+      mPlacementReplicator.onSavedRow(row);
+      continue;
+    }
     const std::size_t space = std::min(row.mValue.find(' '), row.mValue.size());
     const std::optional<Endpoint> peer = parseEndpoint(row.mValue.substr(0, space));
     const bool self = row.mKey == mSettings.mInstance.text();
@@ -116,7 +121,10 @@
   }
   if (aBatch.mHasMore && !aBatch.mRows.empty()) {
     readInstances(keyAfter(aBatch.mRows.back()));
-  } else if (mRegistrationCurrent) {
+    return;
+  }
+  mPlacementReplicator.onSavedRowsRead();
+  if (mRegistrationCurrent) {
     onRegistered(aBatch.mVersion);
   } else {
     registerSelf();
@@ -134,6 +142,7 @@
             "version=" + std::to_string(mSteeringState.mPlan->mVersion.value()) +
               " targets=" + std::to_string(mSteeringState.mTargets.size()));
   mGossip->start();
+  mPlacementReplicator.join(*mGossip);
   updateMembership();
 }
 
--- a/bulrushrun/steering/SteeringInstanceService.h
+++ b/bulrushrun/steering/SteeringInstanceService.h
@@ -133,7 +133,8 @@
 void SteeringInstance<HostType, Adapter>::handlePeerRequest(const HttpRequest& aRequest,
                                                             const ResponderPtr& aResponder)
 {
-  if (!mPeerReplication.handle(aRequest, aResponder)) {
+  if (!mPeerReplication.handle(aRequest, aResponder) &&
+      !mPlacementReplicator.handlePeerRequest(aRequest, *aResponder)) {
     respond(*aResponder, { { 404, {}, std::nullopt }, "not a peer replication request\n" });
   }
 }
@@ -179,6 +180,9 @@
   counter("store_registration_calls_total",
           "Calls to the store that read or write the table of instances.",
           mRegistrationCalls);
+  counter("store_placement_calls_total",
+          "Calls to the store that save placements of objects.",
+          mPlacementReplicator.storeCalls());
   mProxy.metrics().render(text);
   return text;
 }
--- a/bulrushrun/steering/SteeringInstanceTables.h
+++ b/bulrushrun/steering/SteeringInstanceTables.h
@@ -54,6 +54,12 @@
         [this](const ReplicationProgress& aProgress) { return makePeerChanges(aProgress); },
         [this](const PeerChanges& aChanges) { applyPeerChanges(aChanges); },
         [this](bool aLastPeerFailed) { return chooseReplicationPeer(aLastPeerFailed); } })
+  , mPlacementReplicator(aHost,
+                         mProxy.placements(),
+                         { aSettings.mStore,
+                           Adapter::kInstanceTable,
+                           aSettings.mPeerKeys,
+                           [this] { return chooseReplicationPeer(true); } })
   , mDrain(aHost, aSettings.mBounds.mGrace - kExitMargin, drainCallbacks(std::move(aOnExit)))
 {
   mSteeringState.mContext.mZones = ZoneTopology{ mSettings.mZone, mSettings.mRegions };
@@ -61,6 +67,8 @@
   mProxy.setOnTargetUpdate([this](const TargetId& aTarget, const ResponseMetadata& aMetadata) {
     onTargetUpdate(aTarget, aMetadata);
   });
+  mProxy.setOnPlaced(
+    [this](const Placement& aPlacement) { mPlacementReplicator.announce(aPlacement); });
 }
 
 template<class HostType, class Adapter>
@@ -81,6 +89,7 @@
   for (FeedReader& feedReader : mFeedReaders) {
     feedReader.start();
   }
+  mPlacementReplicator.start();
   readInstances("");
   sweep();
 }
--- a/bulrushrun/steering/TargetPicker.h
+++ b/bulrushrun/steering/TargetPicker.h
@@ -2,6 +2,7 @@
 
 #include "bulrushrun/discovery.h"
 #include "bulrushrun/limits/ColdTargetRateLimiter.h"
+#include "bulrushrun/placement/PlacementPolicy.h"
 #include "bulrushrun/routing/ZoneTopology.h"
 #include "bulrushrun/steering/TargetStats.h"
 
@@ -73,6 +74,8 @@
   double mLoad = 0;
   /// Position of the target in the order of preference, from 1; 0 if none was picked.
   std::size_t mPreferenceRank = 0;
+  /// Placement that this choice made, to be announced to the other instances.
+  std::optional<Placement> mPlaced;
 };
 
 /// \brief Chooses the target of each attempt. Performs no I/O.
@@ -96,6 +99,8 @@
 
   /// \brief \returns the load and health statistics of a target.
   TargetStats& stats(const TargetId& aTarget) { return mStats[aTarget]; }
+  /// \brief \returns the targets at which objects are placed.
+  PlacementTable& placements() { return mPlacements; }
   /// \brief Drops the statistics of targets that are no longer in the table.
   void forgetUnknown(const TargetTable& aTable);
 
@@ -150,6 +155,11 @@
   static bool keepsLocalReplica(const PickQuery& aQuery,
                                 const PickContext& aContext,
                                 const std::vector<Candidate>& aCandidates);
+  std::optional<Placement> placeObject(const PickQuery& aQuery,
+                                       const std::vector<const KnownTarget*>& aUsable,
+                                       const PickContext& aContext,
+                                       TimePoint aNow,
+                                       std::vector<Candidate>& aCandidates);
   bool admitsIfCold(const KnownTarget& aTarget,
                     const PickQuery& aQuery,
                     const PickContext& aContext,
@@ -157,6 +167,7 @@
 
   std::map<TargetId, TargetStats> mStats;
   ColdTargetRateLimiter mColdRateLimiter;
+  PlacementTable mPlacements;
 };
 
 } // namespace bulrushrun
--- a/bulrushrun/store.h
+++ b/bulrushrun/store.h
@@ -19,3 +19,4 @@
 // Replication of its tables between instances.
 #include "bulrushrun/store/PeerReplicationCodec.h"
 #include "bulrushrun/store/PeerReplicator.h"
+#include "bulrushrun/store/SignedPayload.h"
--- a/bulrushrun/store/PeerReplicationCodec.cpp
+++ b/bulrushrun/store/PeerReplicationCodec.cpp
@@ -1,6 +1,7 @@
 #include "bulrushrun/store/PeerReplicationCodec.h"
 
 #include "bulrushrun/core/MessagePack.h"
+#include "bulrushrun/store/SignedPayload.h"
 
 #include <algorithm>
 #include <charconv>
@@ -10,7 +11,6 @@
 
 namespace {
 
-constexpr std::size_t kMacBytes = 32;
 /// Longer durations in a request are clamped to this one, which is 24 h.
 constexpr std::uint64_t kMaxMillis = 86'400'000;
 /// Numbers in the query: two versions per table, the staleness and the maximum wait.
@@ -79,22 +79,15 @@
   }
   const std::string payload =
     packMessage(WireChanges{ toMillis(aChanges.mStaleness), std::move(tables) });
-  return hmacSha256(aKey, payload) + payload;
+  return signPayload(payload, aKey);
 }
 
 std::optional<PeerChanges> decodePeerChanges(std::string_view aBytes,
                                              const std::vector<std::string>& aKeys)
 {
-  if (aBytes.size() <= kMacBytes) {
-    return std::nullopt;
-  }
-  const std::string_view mac = aBytes.substr(0, kMacBytes);
-  const std::string_view payload = aBytes.substr(kMacBytes);
-  const bool isAuthentic = std::any_of(aKeys.begin(), aKeys.end(), [&](const std::string& aKey) {
-    return constantTimeEquals(hmacSha256(aKey, payload), mac);
-  });
+  const std::optional<std::string_view> payload = verifyPayload(aBytes, aKeys);
   const std::optional<WireChanges> wire =
-    isAuthentic ? unpackMessage<WireChanges>(payload) : std::optional<WireChanges>{};
+    payload ? unpackMessage<WireChanges>(*payload) : std::optional<WireChanges>{};
   if (!wire || std::get<1>(*wire).size() != kReplicatedTables) {
     return std::nullopt;
   }
