TargetPicker in parts: query and candidates, placement of objects, choice

Cause: the picker held the choice, the placement, the admission of cold targets and the health filter. Behaviour unchanged.

--- a/bulrushrun/steering.h
+++ b/bulrushrun/steering.h
@@ -8,6 +8,8 @@
 #include "bulrushrun/steering/StartupQueue.h"
 #include "bulrushrun/steering/SteeringSettings.h"
 // Selection of targets; no I/O.
+#include "bulrushrun/steering/ObjectPlacer.h"
+#include "bulrushrun/steering/PickQuery.h"
 #include "bulrushrun/steering/TargetPicker.h"
 #include "bulrushrun/steering/TargetStats.h"
 // Requests in progress.
--- /dev/null
+++ b/bulrushrun/steering/PickQuery.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "bulrushrun/discovery.h"
+#include "bulrushrun/limits/ColdTargetQuota.h"
+#include "bulrushrun/routing/ZoneTopology.h"
+
+#include <set>
+#include <vector>
+
+namespace bulrushrun {
+
+/// \brief How the target of a request is chosen.
+enum class Affinity
+{
+  /// The least loaded target.
+  None,
+  /// The primary target of the affinity key, in whichever zone it is.
+  Key,
+};
+
+/// \brief Parameters of one choice of a target.
+struct PickQuery
+{
+  Affinity mAffinity = Affinity::None;
+  /// Hash of the affinity key, for Affinity::Key.
+  std::uint64_t mAffinityKey = 0;
+  /// The response is large: a target in this instance's zone saves traffic between zones.
+  bool mLargeResponse = false;
+  /// Targets that were attempted before.
+  std::set<TargetId> mTriedTargets;
+  /// Regions in which the request may be served; empty for all.
+  std::vector<RegionName> mHomeRegions;
+  /// Requests per second that a cold target of the service may get from all instances together.
+  double mColdRateLimit = 0;
+  /// Time after its registration for which a target counts as cold.
+  Duration mColdStartDuration{ 0 };
+  /// A target with requests in progress that did not respond for this long is avoided.
+  Duration mUnresponsiveAfter = Duration::max();
+};
+
+/// \brief State that all choices of this instance share.
+struct PickContext
+{
+  ZoneTopology mZones;
+  /// Zones whose targets must get no requests.
+  std::set<ZoneName> mEvacuated;
+  /// This instance's quota of the rate limit on cold targets of its zone.
+  ColdTargetQuota mColdTargetQuota;
+};
+
+/// \brief A target with the criteria by which it is chosen.
+struct TargetCandidate
+{
+  const KnownTarget* mTarget = nullptr;
+  /// Estimated requests in progress.
+  double mLoad = 0;
+  /// Higher values come first.
+  double mRank = 0;
+  Distance mDistance = Distance::OtherRegion;
+};
+
+/// \brief \returns true while a target tolerates few requests because it has just started.
+inline bool isCold(const KnownTarget& aTarget, Duration aColdStartDuration, TimePoint aNow)
+{
+  const bool isNew = aTarget.mRegisteredAt && aNow - *aTarget.mRegisteredAt < aColdStartDuration;
+  return isNew || aNow < aTarget.mColdUntil;
+}
+
+} // namespace bulrushrun
--- a/bulrushrun/steering/TargetPicker.cpp
+++ b/bulrushrun/steering/TargetPicker.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <limits>
 
 namespace bulrushrun {
 
@@ -16,12 +15,6 @@
   return regions.empty() || std::find(regions.begin(), regions.end(), aRegion) != regions.end();
 }
 
-bool isCold(const KnownTarget& aTarget, Duration aColdStartDuration, TimePoint aNow)
-{
-  const bool isNew = aTarget.mRegisteredAt && aNow - *aTarget.mRegisteredAt < aColdStartDuration;
-  return isNew || aNow < aTarget.mColdUntil;
-}
-
 } // namespace
 
 std::vector<TargetPicker::Candidate> TargetPicker::candidates(
@@ -130,56 +123,6 @@
                                 aNow);
 }
 
-/// Ranks the target at which the object is placed first. Places the object if its target is unknown
-/// or no longer registered.
-std::optional<Placement> TargetPicker::placeObject(const PickQuery& aQuery,
-                                                   const std::vector<const KnownTarget*>& aUsable,
-                                                   const PickContext& aContext,
-                                                   TimePoint aNow,
-                                                   std::vector<Candidate>& aCandidates)
-{
-  const ObjectKey object{ aQuery.mAffinityKey };
-  std::optional<Placement> known = mPlacements.find(object);
-  std::optional<Placement> placed;
-  const bool isUsable =
-    known && std::any_of(aUsable.begin(), aUsable.end(), [&](const KnownTarget* aTarget) {
-      return aTarget->mHash == known->mTarget.value();
-    });
-  if (aQuery.mTriedTargets.empty()) {
-    std::vector<PlacementCandidate> candidates;
-    std::optional<PlacementCandidate> keeper;
-    for (const Candidate& candidate : aCandidates) {
-      const KnownTarget& target = *candidate.mTarget;
-      const PlacementCandidate option{
-        TargetHash{ target.mHash }, target.mEntry.mSlots, candidate.mDistance, candidate.mRank
-      };
-      const bool isBusy = candidate.mLoad + 1 > target.mEntry.mSlots;
-      if (known && option.mTarget == known->mTarget && isBusy) {
-        keeper = option;
-      }
-      if (target.mEntry.mZone == aContext.mZones.own() ||
-          !isCold(target, aQuery.mColdStartDuration, aNow)) {
-        candidates.push_back(option);
-      }
-    }
-    const std::optional<TargetHash> chosen =
-      !isUsable ? choosePlacement(mPlacements, candidates)
-                : (keeper ? chooseRelief(mPlacements, *keeper, candidates) : std::nullopt);
-    if (chosen) {
-      placed = mPlacements.place(object, *chosen, aNow);
-      known = placed ? placed : known;
-    } else {
-      placed = mPlacements.renew(object, aNow);
-    }
-  }
-  for (Candidate& candidate : aCandidates) {
-    if (known && candidate.mTarget->mHash == known->mTarget.value()) {
-      candidate.mRank = std::numeric_limits<double>::infinity();
-    }
-  }
-  return placed;
-}
-
 PickResult TargetPicker::pick(const PickQuery& aQuery,
                               const std::vector<const KnownTarget*>& aUsable,
                               const PickContext& aContext,
@@ -188,7 +131,7 @@
   PickResult result;
   std::vector<Candidate> eligible = candidates(aQuery, aUsable, aContext, aNow);
   if (aQuery.mAffinity == Affinity::Key) {
-    result.mPlaced = placeObject(aQuery, aUsable, aContext, aNow, eligible);
+    result.mPlaced = mPlacer.place(aQuery, aUsable, aContext.mZones.own(), aNow, eligible);
   }
   const CandidateOrder preference = orderCandidates(aQuery, aContext, std::move(eligible));
   const std::vector<Candidate>& order = preference.mCandidates;
--- a/bulrushrun/steering/TargetPicker.h
+++ b/bulrushrun/steering/TargetPicker.h
@@ -1,57 +1,16 @@
 #pragma once
 
-#include "bulrushrun/discovery.h"
 #include "bulrushrun/limits/ColdTargetRateLimiter.h"
-#include "bulrushrun/placement/PlacementPolicy.h"
-#include "bulrushrun/routing/ZoneTopology.h"
+#include "bulrushrun/steering/ObjectPlacer.h"
+#include "bulrushrun/steering/PickQuery.h"
 #include "bulrushrun/steering/TargetStats.h"
 
 #include <map>
-#include <set>
-#include <string>
+#include <optional>
 #include <vector>
 
 namespace bulrushrun {
 
-/// \brief How the target of a request is chosen.
-enum class Affinity
-{
-  /// The least loaded target.
-  None,
-  /// The primary target of the affinity key, in whichever zone it is.
-  Key,
-};
-
-/// \brief Parameters of one choice of a target.
-struct PickQuery
-{
-  Affinity mAffinity = Affinity::None;
-  /// Hash of the affinity key, for Affinity::Key.
-  std::uint64_t mAffinityKey = 0;
-  /// The response is large: a target in this instance's zone saves traffic between zones.
-  bool mLargeResponse = false;
-  /// Targets that were attempted before.
-  std::set<TargetId> mTriedTargets;
-  /// Regions in which the request may be served; empty for all.
-  std::vector<RegionName> mHomeRegions;
-  /// Requests per second that a cold target of the service may get from all instances together.
-  double mColdRateLimit = 0;
-  /// Time after its registration for which a target counts as cold.
-  Duration mColdStartDuration{ 0 };
-  /// A target with requests in progress that did not respond for this long is avoided.
-  Duration mUnresponsiveAfter = Duration::max();
-};
-
-/// \brief State that all choices of this instance share.
-struct PickContext
-{
-  ZoneTopology mZones;
-  /// Zones whose targets must get no requests.
-  std::set<ZoneName> mEvacuated;
-  /// This instance's quota of the rate limit on cold targets of its zone.
-  ColdTargetQuota mColdTargetQuota;
-};
-
 /// \brief Why no target was picked.
 enum class PickFailure
 {
@@ -80,12 +39,12 @@
 
 /// \brief Chooses the target of each attempt. Performs no I/O.
 ///
-/// Requests with an affinity key go to the key's primary target, where its data is warm: the winner
-/// of weighted rendezvous hashing, in which the weight of targets in this instance's region is
-/// multiplied by the number of regions. Even when all regions send equal load, a region with few
-/// targets then gets no more than the average load. A short wait at a warm target is better than an
-/// immediate start at a cold one, and each further target that serves a key evicts another key for
-/// it.
+/// Requests with an affinity key go to the target at which the key's object is placed. While that
+/// one is avoided, and before placements are known, the order is that of weighted rendezvous
+/// hashing, in which the weight of targets in this instance's region is multiplied by the number of
+/// regions: even when all regions send equal load, a region with few targets then gets no more than
+/// the average load. A short wait at a warm target is better than an immediate start at a cold one,
+/// and each further target that serves a key evicts another key for it.
 ///
 /// Requests without an affinity key go to the least loaded target, in this instance's zone first.
 class TargetPicker
@@ -100,19 +59,12 @@
   /// \brief \returns the load and health statistics of a target.
   TargetStats& stats(const TargetId& aTarget) { return mStats[aTarget]; }
   /// \brief \returns the targets at which objects are placed.
-  PlacementTable& placements() { return mPlacements; }
+  PlacementTable& placements() { return mPlacer.placements(); }
   /// \brief Drops the statistics of targets that are no longer in the table.
   void forgetUnknown(const TargetTable& aTable);
 
 private:
-  /// A target with its sort criteria.
-  struct Candidate
-  {
-    const KnownTarget* mTarget = nullptr;
-    double mLoad = 0;
-    double mRank = 0;
-    Distance mDistance = Distance::OtherRegion;
-  };
+  using Candidate = TargetCandidate;
 
   /// Candidates in the order of preference, in consecutive groups.
   struct CandidateOrder
@@ -155,11 +107,6 @@
   static bool keepsLocalReplica(const PickQuery& aQuery,
                                 const PickContext& aContext,
                                 const std::vector<Candidate>& aCandidates);
-  std::optional<Placement> placeObject(const PickQuery& aQuery,
-                                       const std::vector<const KnownTarget*>& aUsable,
-                                       const PickContext& aContext,
-                                       TimePoint aNow,
-                                       std::vector<Candidate>& aCandidates);
   bool admitsIfCold(const KnownTarget& aTarget,
                     const PickQuery& aQuery,
                     const PickContext& aContext,
@@ -167,7 +114,7 @@
 
   std::map<TargetId, TargetStats> mStats;
   ColdTargetRateLimiter mColdRateLimiter;
-  PlacementTable mPlacements;
+  ObjectPlacer mPlacer;
 };
 
 } // namespace bulrushrun
