--- a/bulrushrun/placement.h
+++ b/bulrushrun/placement.h
@@ -8,5 +8,6 @@
 #include "bulrushrun/placement/PlacementPolicy.h"
 #include "bulrushrun/placement/PlacementTable.h"
 // Exchange between instances, and the copy in the store.
+#include "bulrushrun/placement/PlacementAnnouncer.h"
+#include "bulrushrun/placement/PlacementArchive.h"
 #include "bulrushrun/placement/PlacementMessage.h"
-#include "bulrushrun/placement/PlacementReplicator.h"
--- a/bulrushrun/placement/PlacementReplicator.h
+++ b/bulrushrun/placement/PlacementArchive.h
@@ -33,20 +33,19 @@
   std::function<std::optional<Endpoint>()> mChoosePeer;
 };
 
-/// \brief Announces the placements of this instance to the others, and keeps a copy of all
-/// placements in the store, so that objects return to their warm targets after a restart of the
-/// whole fleet.
+/// \brief Keeps a copy of all placements in the store, so that objects return to their warm targets
+/// after a restart of the whole fleet.
 ///
-/// An announcement goes to the other instances of the zone and to one instance of each other zone,
-/// which forwards it there. The table is saved in a fixed number of rows, each by the instance that
-/// rendezvous hashing assigns it to; when views of the membership differ, a row is written twice.
+/// The table is saved in a fixed number of rows, each by the instance that rendezvous hashing
+/// assigns it to; when views of the membership differ, a row is written twice. An instance that
+/// starts reads the rows, or asks a peer while the store does not respond, and writes none before.
 ///
 /// \tparam StoreProtocol  encoding of the store's calls
 template<class HostType, class StoreProtocol>
-class PlacementReplicator
+class PlacementArchive
 {
 public:
-  PlacementReplicator(HostType& aHost, PlacementTable& aPlacements, PlacementSource aSource)
+  PlacementArchive(HostType& aHost, PlacementTable& aPlacements, PlacementSource aSource)
     : mHost(aHost)
     , mPlacements(aPlacements)
     , mSource(std::move(aSource))
@@ -61,16 +60,12 @@
   void onSavedRow(const StoreRow& aRow);
   /// \brief Ends the wait: all saved rows have been read.
   void onSavedRowsRead() { onLoaded("store"); }
-  /// \brief Starts to announce and save placements.
-  void join(Gossip<HostType>& aGossip)
+  /// \brief Starts to save placements.
+  void join(const Gossip<HostType>& aGossip)
   {
     mGossip = &aGossip;
     savePeriodically();
   }
-  /// \brief Announces a placement with the next batch.
-  void announce(const Placement& aPlacement);
-  /// \brief Takes the placements in a message. \returns false when the message is malformed
-  bool receive(std::string_view aPayload);
   /// \brief Handles a peer's request for all placements. \returns false when the request is another
   /// one
   bool handlePeerRequest(const HttpRequest& aRequest, typename HostType::ResponderType& aResponder);
@@ -80,8 +75,6 @@
 private:
   /// Keys of the rows in the instances' table; sorts after the names of instances.
   static constexpr const char* kRowPrefix = "~placements-";
-  /// Placements made within this time are announced together.
-  static constexpr Duration kBatchDelay = std::chrono::milliseconds(10);
   static constexpr Duration kSaveCheckPeriod = std::chrono::milliseconds(500);
   /// Bounds of the time between two writes of a row; doubles with each write.
   static constexpr Duration kMinSaveInterval = std::chrono::seconds(1);
@@ -102,9 +95,8 @@
     TimePoint mNextAt;
   };
 
-  void sendBatch();
   void loadFromPeer();
-  bool mergeMessage(const std::optional<PlacementMessage>& aMessage);
+  bool merge(std::string_view aMessage);
   void onLoaded(const char* aSource);
   void savePeriodically();
   bool isWriter(std::size_t aPart) const;
@@ -114,65 +106,39 @@
   PlacementTable& mPlacements;
   PlacementSource mSource;
   bool mLoaded = false;
-  Gossip<HostType>* mGossip = nullptr;
-  std::vector<Placement> mBatch;
+  const Gossip<HostType>* mGossip = nullptr;
   std::array<SavedPart, PlacementTable::kParts> mSaved;
   std::uint64_t mStoreCalls = 0;
 };
 
 template<class HostType, class StoreProtocol>
-void PlacementReplicator<HostType, StoreProtocol>::announce(const Placement& aPlacement)
+bool PlacementArchive<HostType, StoreProtocol>::merge(std::string_view aMessage)
 {
-  mBatch.push_back(aPlacement);
-  if (mBatch.size() == 1) {
-    mHost.after(kBatchDelay, [this] { sendBatch(); });
+  const std::optional<PlacementMessage> message = decodePlacements(aMessage);
+  if (message) {
+    mPlacements.merge(message->mPlacements, mHost.now());
   }
+  return message.has_value();
 }
 
 template<class HostType, class StoreProtocol>
-void PlacementReplicator<HostType, StoreProtocol>::sendBatch()
-{
-  const std::vector<Placement> batch = std::exchange(mBatch, {});
-  if (mGossip == nullptr) {
-    return;
-  }
-  sendToOwnZone(*mGossip, encodePlacements(batch, false));
-  sendToZoneRelays(
-    *mGossip, mHost.random(), encodePlacements(batch, true), [](const ZoneName&) { return true; });
-}
-
-template<class HostType, class StoreProtocol>
-bool PlacementReplicator<HostType, StoreProtocol>::receive(std::string_view aPayload)
-{
-  const std::optional<PlacementMessage> message = decodePlacements(aPayload);
-  if (!message) {
-    return false;
-  }
-  mergeMessage(message);
-  if (message->mForward && mGossip != nullptr) {
-    sendToOwnZone(*mGossip, encodePlacements(message->mPlacements, false));
-  }
-  return true;
-}
-
-template<class HostType, class StoreProtocol>
-void PlacementReplicator<HostType, StoreProtocol>::start()
+void PlacementArchive<HostType, StoreProtocol>::start()
 {
   mHost.after(kPeerLoadDelay, [this] { loadFromPeer(); });
   mHost.after(kLoadTimeout, [this] { mPlacements.setComplete(); });
 }
 
 template<class HostType, class StoreProtocol>
-void PlacementReplicator<HostType, StoreProtocol>::onSavedRow(const StoreRow& aRow)
+void PlacementArchive<HostType, StoreProtocol>::onSavedRow(const StoreRow& aRow)
 {
-  if (!mergeMessage(decodePlacements(aRow.mValue))) {
+  if (!merge(aRow.mValue)) {
     mHost.log(events::kPlacementsUnreadable, "key=" + aRow.mKey);
   }
 }
 
 /// Asks another instance while the store does not respond.
 template<class HostType, class StoreProtocol>
-void PlacementReplicator<HostType, StoreProtocol>::loadFromPeer()
+void PlacementArchive<HostType, StoreProtocol>::loadFromPeer()
 {
   const std::optional<Endpoint> peer = mLoaded ? std::nullopt : mSource.mChoosePeer();
   if (!peer) {
@@ -191,7 +157,7 @@
                             aResult == ExchangeResult::Complete && aResponse.mHead.mStatus == 200
                               ? verifyPayload(aResponse.mBody, mSource.mKeys)
                               : std::nullopt;
-                          if (payload && mergeMessage(decodePlacements(*payload))) {
+                          if (payload && merge(*payload)) {
                             onLoaded("peer");
                           } else {
                             mHost.after(kRetryDelay, [this] { loadFromPeer(); });
@@ -200,7 +166,7 @@
 }
 
 template<class HostType, class StoreProtocol>
-bool PlacementReplicator<HostType, StoreProtocol>::handlePeerRequest(
+bool PlacementArchive<HostType, StoreProtocol>::handlePeerRequest(
   const HttpRequest& aRequest,
   typename HostType::ResponderType& aResponder)
 {
@@ -220,20 +186,7 @@
 }
 
 template<class HostType, class StoreProtocol>
-bool PlacementReplicator<HostType, StoreProtocol>::mergeMessage(
-  const std::optional<PlacementMessage>& aMessage)
-{
-  if (!aMessage) {
-    return false;
-  }
-  for (const Placement& placement : aMessage->mPlacements) {
-    mPlacements.merge(placement, mHost.now());
-  }
-  return true;
-}
-
-template<class HostType, class StoreProtocol>
-void PlacementReplicator<HostType, StoreProtocol>::onLoaded(const char* aSource)
+void PlacementArchive<HostType, StoreProtocol>::onLoaded(const char* aSource)
 {
   if (std::exchange(mLoaded, true)) {
     return;
@@ -247,7 +200,7 @@
 }
 
 template<class HostType, class StoreProtocol>
-void PlacementReplicator<HostType, StoreProtocol>::savePeriodically()
+void PlacementArchive<HostType, StoreProtocol>::savePeriodically()
 {
   mPlacements.sweep(mHost.now());
   for (std::size_t part = 0; part < mSaved.size(); ++part) {
@@ -261,7 +214,7 @@
 }
 
 template<class HostType, class StoreProtocol>
-bool PlacementReplicator<HostType, StoreProtocol>::isWriter(std::size_t aPart) const
+bool PlacementArchive<HostType, StoreProtocol>::isWriter(std::size_t aPart) const
 {
   std::vector<Member> members = mGossip->table().all();
   std::erase_if(members,
@@ -275,7 +228,7 @@
 }
 
 template<class HostType, class StoreProtocol>
-void PlacementReplicator<HostType, StoreProtocol>::save(std::size_t aPart)
+void PlacementArchive<HostType, StoreProtocol>::save(std::size_t aPart)
 {
   ++mStoreCalls;
   SavedPart& saved = mSaved[aPart];
--- a/bulrushrun/placement/PlacementTable.cpp
+++ b/bulrushrun/placement/PlacementTable.cpp
@@ -42,6 +42,13 @@
   set(aPlacement, aNow);
 }
 
+void PlacementTable::merge(const std::vector<Placement>& aPlacements, TimePoint aNow)
+{
+  for (const Placement& placement : aPlacements) {
+    merge(placement, aNow);
+  }
+}
+
 void PlacementTable::sweep(TimePoint aNow)
 {
   std::erase_if(mEntries, [&](const std::pair<const std::uint64_t, Entry>& aEntry) {
--- a/bulrushrun/placement/PlacementTable.h
+++ b/bulrushrun/placement/PlacementTable.h
@@ -35,6 +35,7 @@
   std::optional<Placement> renew(ObjectKey aObject, TimePoint aNow);
   /// \brief Takes a placement of another instance, unless the known one supersedes it.
   void merge(const Placement& aPlacement, TimePoint aNow);
+  void merge(const std::vector<Placement>& aPlacements, TimePoint aNow);
   /// \brief Drops placements of objects that are not in use any more.
   void sweep(TimePoint aNow);
 
--- a/bulrushrun/steering/SteeringInstance.h
+++ b/bulrushrun/steering/SteeringInstance.h
@@ -169,7 +169,8 @@
   /// When each table was last known to match the store's.
   std::array<TimePoint, kReplicatedTables> mSyncedAt;
   PeerReplicator<HostType> mPeerReplication;
-  PlacementReplicator<HostType, StoreProtocol> mPlacementReplicator;
+  PlacementAnnouncer<HostType> mPlacementAnnouncer;
+  PlacementArchive<HostType, StoreProtocol> mPlacementArchive;
   LoadReportExchange<HostType> mLoadReports;
   DrainSequence<HostType> mDrain;
   std::unique_ptr<Gossip<HostType>> mGossip;
--- a/bulrushrun/steering/SteeringInstanceMembership.h
+++ b/bulrushrun/steering/SteeringInstanceMembership.h
@@ -15,7 +15,7 @@
            [](const LeavingNotice&) {},
            [] { return std::vector<LeavingNotice>{}; },
            [this](std::string_view aPayload) {
-             return mPlacementReplicator.receive(aPayload) || mLoadReports.receive(aPayload);
+             return mPlacementAnnouncer.receive(aPayload) || mLoadReports.receive(aPayload);
            } };
 }
 
@@ -105,8 +105,8 @@
 void SteeringInstance<HostType, Adapter>::onInstances(const RowBatch& aBatch)
 {
   for (const StoreRow& row : aBatch.mRows) {
-    if (mPlacementReplicator.isSavedRow(row.mKey)) {
-      mPlacementReplicator.onSavedRow(row);
+    if (mPlacementArchive.isSavedRow(row.mKey)) {
+      mPlacementArchive.onSavedRow(row);
       continue;
     }
     const std::size_t space = std::min(row.mValue.find(' '), row.mValue.size());
@@ -125,7 +125,7 @@
     readInstances(keyAfter(aBatch.mRows.back()));
     return;
   }
-  mPlacementReplicator.onSavedRowsRead();
+  mPlacementArchive.onSavedRowsRead();
   if (mRegistrationCurrent) {
     onRegistered(aBatch.mVersion);
   } else {
@@ -144,7 +144,8 @@
             "version=" + std::to_string(mSteeringState.mPlan->mVersion.value()) +
               " targets=" + std::to_string(mSteeringState.mTargets.size()));
   mGossip->start();
-  mPlacementReplicator.join(*mGossip);
+  mPlacementAnnouncer.join(*mGossip);
+  mPlacementArchive.join(*mGossip);
   mLoadReports.join(*mGossip);
   updateMembership();
 }
--- a/bulrushrun/steering/SteeringInstanceService.h
+++ b/bulrushrun/steering/SteeringInstanceService.h
@@ -134,7 +134,7 @@
                                                             const ResponderPtr& aResponder)
 {
   if (!mPeerReplication.handle(aRequest, aResponder) &&
-      !mPlacementReplicator.handlePeerRequest(aRequest, *aResponder)) {
+      !mPlacementArchive.handlePeerRequest(aRequest, *aResponder)) {
     respond(*aResponder, { { 404, {}, std::nullopt }, "not a peer replication request\n" });
   }
 }
@@ -182,7 +182,7 @@
           mRegistrationCalls);
   counter("store_placement_calls_total",
           "Calls to the store that save placements of objects.",
-          mPlacementReplicator.storeCalls());
+          mPlacementArchive.storeCalls());
   mProxy.metrics().render(text);
   return text;
 }
--- a/bulrushrun/steering/SteeringInstanceTables.h
+++ b/bulrushrun/steering/SteeringInstanceTables.h
@@ -54,12 +54,13 @@
         [this](const ReplicationProgress& aProgress) { return makePeerChanges(aProgress); },
         [this](const PeerChanges& aChanges) { applyPeerChanges(aChanges); },
         [this](bool aLastPeerFailed) { return chooseReplicationPeer(aLastPeerFailed); } })
-  , mPlacementReplicator(aHost,
-                         mProxy.placements(),
-                         { aSettings.mStore,
-                           Adapter::kInstanceTable,
-                           aSettings.mPeerKeys,
-                           [this] { return chooseReplicationPeer(true); } })
+  , mPlacementAnnouncer(aHost, mProxy.placements())
+  , mPlacementArchive(aHost,
+                      mProxy.placements(),
+                      { aSettings.mStore,
+                        Adapter::kInstanceTable,
+                        aSettings.mPeerKeys,
+                        [this] { return chooseReplicationPeer(true); } })
   , mLoadReports(aHost,
                  mSteeringState.mContext.mZones,
                  [this](const TargetLoad& aLoad) { mProxy.onPeerLoad(aLoad); })
@@ -74,7 +75,7 @@
     mLoadReports.onReport(aTarget, aReport);
   });
   mProxy.setOnPlaced(
-    [this](const Placement& aPlacement) { mPlacementReplicator.announce(aPlacement); });
+    [this](const Placement& aPlacement) { mPlacementAnnouncer.announce(aPlacement); });
 }
 
 template<class HostType, class Adapter>
@@ -95,7 +96,7 @@
   for (FeedReader& feedReader : mFeedReaders) {
     feedReader.start();
   }
-  mPlacementReplicator.start();
+  mPlacementArchive.start();
   readInstances("");
   sweep();
 }
