--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -22,3 +22,7 @@
   echo "$leaks"
   exit 1
 fi
+# The patches that switch one mechanism off each must still apply.
+for patch in bench/ablations/*.patch; do
+  git apply --check "$patch"
+done
