Failed writes and loads of placements are logged; targets without slots are tolerated

Cause: reading the change again: a write that the store did not confirm left no line, and a registration with zero slots would divide by zero in the placement. Figures: 51 tests of placement, the simulated fleet and events pass; the new test writes while the store is down.

--- a/bulrushrun/host/EventCatalogue.h
+++ b/bulrushrun/host/EventCatalogue.h
@@ -44,6 +44,8 @@
 inline constexpr Event kObjectPlaced{ 5009, Severity::Info, "object-placed" };
 inline constexpr Event kPlacementsUnreadable{ 5010, Severity::Warn, "placements-unreadable" };
 inline constexpr Event kPlacementsLoaded{ 5011, Severity::Info, "placements-loaded" };
+inline constexpr Event kPlacementsNotSaved{ 5012, Severity::Warn, "placements-not-saved" };
+inline constexpr Event kPlacementsNotLoaded{ 5013, Severity::Info, "placements-not-loaded" };
 inline constexpr Event kMemberJoined{ 6001, Severity::Info, "member-joined" };
 inline constexpr Event kMemberSuspected{ 6002, Severity::Debug, "member-suspected" };
 inline constexpr Event kMemberDead{ 6003, Severity::Warn, "member-dead" };
@@ -69,7 +71,7 @@
   kFeedRegained,         kTargetAdded,          kTargetVanished,       kTargetEntryRefused,
   kTargetReplaced,       kRequestEnded,         kRequestRefused,       kSendFailed,
   kLookupRefused,        kTargetZoneUnknown,    kObjectPlaced,         kPlacementsUnreadable,
-  kPlacementsLoaded
+  kPlacementsLoaded,     kPlacementsNotSaved,   kPlacementsNotLoaded
 };
 
 } // namespace bulrushrun::events
--- a/bulrushrun/placement/PlacementArchive.h
+++ b/bulrushrun/placement/PlacementArchive.h
@@ -160,6 +160,9 @@
                           if (payload && merge(*payload)) {
                             onLoaded("peer");
                           } else {
+                            mHost.log(events::kPlacementsNotLoaded,
+                                      "reason=\"the peer sent no valid placements\" status=" +
+                                        std::to_string(aResponse.mHead.mStatus));
                             mHost.after(kRetryDelay, [this] { loadFromPeer(); });
                           }
                         });
@@ -246,6 +249,11 @@
     [this, aPart, changes](ExchangeResult aResult, const HttpResponse& aResponse) {
       if (aResult == ExchangeResult::Complete && StoreProtocol::parseWriteResponse(aResponse)) {
         mSaved[aPart].mChanges = changes;
+      } else {
+        mHost.log(events::kPlacementsNotSaved,
+                  "part=" + std::to_string(aPart) +
+                    " reason=\"the store did not confirm\" status=" +
+                    std::to_string(aResponse.mHead.mStatus));
       }
     });
 }
--- a/bulrushrun/steering/ObjectPlacer.cpp
+++ b/bulrushrun/steering/ObjectPlacer.cpp
@@ -10,7 +10,7 @@
 PlacementCandidate toPlacementCandidate(const TargetCandidate& aCandidate)
 {
   return { TargetHash{ aCandidate.mTarget->mHash },
-           aCandidate.mTarget->mEntry.mSlots,
+           std::max(aCandidate.mTarget->mEntry.mSlots, 1),
            aCandidate.mDistance,
            aCandidate.mRank };
 }
--- a/bulrushrun/steering/tests/FleetPlacementTest.cpp
+++ b/bulrushrun/steering/tests/FleetPlacementTest.cpp
@@ -125,6 +125,22 @@
   EXPECT_TRUE(hasLogged("n6", "placements-loaded source=store objects=40"));
 }
 
+/// The store is down for longer than the interval between two writes.
+TEST_F(FleetPlacementTest, RowsThatWereNotConfirmedAreReportedAndWrittenAgain)
+{
+  mSimulation.mStore.setErrorStatus(503);
+  placeAll("n1");
+  mSimulation.run(std::chrono::seconds(4));
+  EXPECT_TRUE(std::any_of(mNames.begin(), mNames.end(), [&](const std::string& aName) {
+    return hasLogged(aName, "placements-not-saved part=");
+  }));
+  mSimulation.mStore.setErrorStatus(std::nullopt);
+  mSimulation.run(std::chrono::seconds(10));
+  mSimulation.add("n6", "za").start();
+  mSimulation.run(std::chrono::seconds(1));
+  EXPECT_TRUE(hasLogged("n6", "placements-loaded source=store objects=40"));
+}
+
 /// Damaged rows cost their placements and nothing else.
 TEST_F(FleetPlacementTest, AnUnreadableRowIsReported)
 {
