--- a/bulrushrun/membership.h
+++ b/bulrushrun/membership.h
@@ -14,3 +14,4 @@
 #include "bulrushrun/membership/MessageAuthenticator.h"
 // Failure detection and dissemination.
 #include "bulrushrun/membership/Gossip.h"
+#include "bulrushrun/membership/ZoneBroadcast.h"
--- a/bulrushrun/placement/PlacementReplicator.h
+++ b/bulrushrun/placement/PlacementReplicator.h
@@ -11,7 +11,6 @@
 #include <array>
 #include <functional>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -104,7 +103,6 @@
   };
 
   void sendBatch();
-  void sendToZone(const std::vector<Placement>& aPlacements);
   void loadFromPeer();
   bool mergeMessage(const std::optional<PlacementMessage>& aMessage);
   void onLoaded(const char* aSource);
@@ -138,35 +136,9 @@
   if (mGossip == nullptr) {
     return;
   }
-  sendToZone(batch);
-  const ZoneName& ownZone = mGossip->self().mZone;
-  std::set<ZoneName> zones;
-  for (const Member& member : mGossip->table().all()) {
-    if (member.mZone == ownZone || !zones.insert(member.mZone).second) {
-      continue;
-    }
-    const std::vector<Member> relays = relaysOf(mGossip->table(), member.mZone);
-    if (!relays.empty()) {
-      const Endpoint& peer = relays[mHost.random().below(relays.size())].mPeer;
-      for (const std::string& message : encodePlacements(batch, true)) {
-        mGossip->sendPayload(peer, message);
-      }
-    }
-  }
-}
-
-template<class HostType, class StoreProtocol>
-void PlacementReplicator<HostType, StoreProtocol>::sendToZone(
-  const std::vector<Placement>& aPlacements)
-{
-  const std::vector<std::string> messages = encodePlacements(aPlacements, false);
-  for (const Member& member : mGossip->table().all()) {
-    const bool isPeer = member.mId != mGossip->self().mId && member.mState != MemberState::Dead &&
-                        member.mZone == mGossip->self().mZone;
-    for (std::size_t i = 0; isPeer && i < messages.size(); ++i) {
-      mGossip->sendPayload(member.mPeer, messages[i]);
-    }
-  }
+  sendToOwnZone(*mGossip, encodePlacements(batch, false));
+  sendToZoneRelays(
+    *mGossip, mHost.random(), encodePlacements(batch, true), [](const ZoneName&) { return true; });
 }
 
 template<class HostType, class StoreProtocol>
@@ -178,7 +150,7 @@
   }
   mergeMessage(message);
   if (message->mForward && mGossip != nullptr) {
-    sendToZone(message->mPlacements);
+    sendToOwnZone(*mGossip, encodePlacements(message->mPlacements, false));
   }
   return true;
 }
--- a/bulrushrun/steering.h
+++ b/bulrushrun/steering.h
@@ -12,6 +12,10 @@
 #include "bulrushrun/steering/PickQuery.h"
 #include "bulrushrun/steering/TargetPicker.h"
 #include "bulrushrun/steering/TargetStats.h"
+// Loads of targets, shared between instances.
+#include "bulrushrun/steering/LoadReport.h"
+#include "bulrushrun/steering/LoadReportExchange.h"
+#include "bulrushrun/steering/LoadReportMessage.h"
 // Requests in progress.
 #include "bulrushrun/steering/ProxiedRequest.h"
 #include "bulrushrun/steering/RequestProxy.h"
--- a/bulrushrun/steering/RequestProxy.h
+++ b/bulrushrun/steering/RequestProxy.h
@@ -2,6 +2,7 @@
 
 #include "bulrushrun/limits/RetryBudgetShare.h"
 #include "bulrushrun/metrics/ServiceMetrics.h"
+#include "bulrushrun/steering/LoadReportMessage.h"
 #include "bulrushrun/steering/ProxiedRequest.h"
 #include "bulrushrun/steering/TargetPicker.h"
 
@@ -88,6 +89,18 @@
   {
     mOnPlaced = std::move(aOnPlaced);
   }
+  /// \brief Sets the callback for the loads that targets report.
+  void setOnLoadReport(std::function<void(const TargetId&, const LoadReport&)> aOnLoadReport)
+  {
+    mOnLoadReport = std::move(aOnLoadReport);
+  }
+  /// \brief Takes the load of a target that another instance learned.
+  void onPeerLoad(const TargetLoad& aLoad)
+  {
+    if (mSteeringState.mTargets.find(aLoad.mTarget) != nullptr) {
+      mPicker.stats(aLoad.mTarget).onReport(aLoad.mRequests, mHost.now());
+    }
+  }
   PlacementTable& placements() { return mPicker.placements(); }
 
 private:
@@ -166,6 +179,7 @@
   std::map<std::string, WeightedRoundRobin> mServiceSplits;
   std::function<void(const TargetId&, const ResponseMetadata&)> mOnTargetUpdate;
   std::function<void(const Placement&)> mOnPlaced;
+  std::function<void(const TargetId&, const LoadReport&)> mOnLoadReport;
   RequestProxyCounters mCounters;
   ServiceMetrics mMetrics;
   RequestId mLastId;
--- a/bulrushrun/steering/RequestProxyExchange.h
+++ b/bulrushrun/steering/RequestProxyExchange.h
@@ -103,7 +103,10 @@
   attempt.mMetadata = Codec::parseResponseMetadata(aHead);
   mPicker.stats(attempt.mTarget).onResponseStarted(mHost.now());
   if (attempt.mMetadata.mLoad) {
-    mPicker.stats(attempt.mTarget).onReport(*attempt.mMetadata.mLoad, mHost.now());
+    mPicker.stats(attempt.mTarget).onReport(attempt.mMetadata.mLoad->total(), mHost.now());
+    if (mOnLoadReport) {
+      mOnLoadReport(attempt.mTarget, *attempt.mMetadata.mLoad);
+    }
   }
   const bool hasTargetUpdate = attempt.mMetadata.mMisdirected || attempt.mMetadata.mClosing ||
                                attempt.mMetadata.mColdRemaining;
--- a/bulrushrun/steering/SteeringInstance.h
+++ b/bulrushrun/steering/SteeringInstance.h
@@ -4,6 +4,7 @@
 #include "bulrushrun/host.h"
 #include "bulrushrun/membership.h"
 #include "bulrushrun/placement.h"
+#include "bulrushrun/steering/LoadReportExchange.h"
 #include "bulrushrun/steering/RequestProxy.h"
 #include "bulrushrun/steering/StartupQueue.h"
 #include "bulrushrun/steering/SteeringSettings.h"
@@ -169,6 +170,7 @@
   std::array<TimePoint, kReplicatedTables> mSyncedAt;
   PeerReplicator<HostType> mPeerReplication;
   PlacementReplicator<HostType, StoreProtocol> mPlacementReplicator;
+  LoadReportExchange<HostType> mLoadReports;
   DrainSequence<HostType> mDrain;
   std::unique_ptr<Gossip<HostType>> mGossip;
   ReplicationRoles mReplicationRoles;
--- a/bulrushrun/steering/SteeringInstanceMembership.h
+++ b/bulrushrun/steering/SteeringInstanceMembership.h
@@ -14,7 +14,9 @@
            [](ConfigurationVersion, const Member&) {},
            [](const LeavingNotice&) {},
            [] { return std::vector<LeavingNotice>{}; },
-           [this](std::string_view aPayload) { return mPlacementReplicator.receive(aPayload); } };
+           [this](std::string_view aPayload) {
+             return mPlacementReplicator.receive(aPayload) || mLoadReports.receive(aPayload);
+           } };
 }
 
 template<class HostType, class Adapter>
@@ -143,6 +145,7 @@
               " targets=" + std::to_string(mSteeringState.mTargets.size()));
   mGossip->start();
   mPlacementReplicator.join(*mGossip);
+  mLoadReports.join(*mGossip);
   updateMembership();
 }
 
--- a/bulrushrun/steering/SteeringInstanceTables.h
+++ b/bulrushrun/steering/SteeringInstanceTables.h
@@ -60,6 +60,9 @@
                            Adapter::kInstanceTable,
                            aSettings.mPeerKeys,
                            [this] { return chooseReplicationPeer(true); } })
+  , mLoadReports(aHost,
+                 mSteeringState.mContext.mZones,
+                 [this](const TargetLoad& aLoad) { mProxy.onPeerLoad(aLoad); })
   , mDrain(aHost, aSettings.mBounds.mGrace - kExitMargin, drainCallbacks(std::move(aOnExit)))
 {
   mSteeringState.mContext.mZones = ZoneTopology{ mSettings.mZone, mSettings.mRegions };
@@ -67,6 +70,9 @@
   mProxy.setOnTargetUpdate([this](const TargetId& aTarget, const ResponseMetadata& aMetadata) {
     onTargetUpdate(aTarget, aMetadata);
   });
+  mProxy.setOnLoadReport([this](const TargetId& aTarget, const LoadReport& aReport) {
+    mLoadReports.onReport(aTarget, aReport);
+  });
   mProxy.setOnPlaced(
     [this](const Placement& aPlacement) { mPlacementReplicator.announce(aPlacement); });
 }
--- a/bulrushrun/steering/TargetPicker.h
+++ b/bulrushrun/steering/TargetPicker.h
@@ -91,7 +91,7 @@
   /// Maximum load such that one more request starts at once.
   static constexpr double kFreeSlotLoadFactor = 1.0;
   /// Maximum load such that one more request waits for less time than a cold execution takes.
-  static constexpr double kShortWaitLoadFactor = 1.7;
+  static constexpr double kShortWaitLoadFactor = 2.3;
   /// Maximum load in the last resort: targets queue a few requests themselves.
   static constexpr double kMaxQueueLoadFactor = 3.0;
   /// Maximum fraction of the targets that is avoided; with more, health is ignored.
--- a/bulrushrun/steering/TargetStats.cpp
+++ b/bulrushrun/steering/TargetStats.cpp
@@ -41,10 +41,9 @@
   mFailureRate = kMaxFailureRate / 2;
 }
 
-void TargetStats::onReport(const LoadReport& aReport, TimePoint aNow)
+void TargetStats::onReport(int aRequests, TimePoint aNow)
 {
-  const int total = aReport.mRunning + aReport.mWaiting;
-  mExternalLoad = std::max(0, total - mInFlight);
+  mExternalLoad = std::max(0, aRequests - mInFlight);
   mReportedAt = aNow;
 }
 
--- a/bulrushrun/steering/TargetStats.h
+++ b/bulrushrun/steering/TargetStats.h
@@ -1,23 +1,13 @@
 #pragma once
 
 #include "bulrushrun/core.h"
+#include "bulrushrun/steering/LoadReport.h"
 
 #include <algorithm>
 #include <cstdint>
 
 namespace bulrushrun {
 
-/// \brief Load that a target reported in a response.
-struct LoadReport
-{
-  int mRunning = 0;
-  int mWaiting = 0;
-  int mSlots = 0;
-
-  /// \brief \returns true when one more request would have to wait.
-  bool isFull() const { return mRunning + mWaiting >= mSlots; }
-};
-
 /// \brief Result of one attempt at a target, as evidence of its health.
 enum class AttemptResult
 {
@@ -84,8 +74,8 @@
   HealthChange onEnd(AttemptResult aResult, TimePoint aNow);
   /// \brief An attempt was abandoned before it ended.
   void onCancelled() { mInFlight = std::max(mInFlight - 1, 0); }
-  /// \brief Records a load that the target reported.
-  void onReport(const LoadReport& aReport, TimePoint aNow);
+  /// \brief Records the number of requests that the target reported, to this or another instance.
+  void onReport(int aRequests, TimePoint aNow);
 
   /// \brief \returns the requests of this instance in progress at the target.
   int inFlight() const { return mInFlight; }
--- a/bulrushrun/steering/tests/FleetSimulation.cpp
+++ b/bulrushrun/steering/tests/FleetSimulation.cpp
@@ -54,6 +54,7 @@
 
 void SimulatedHost::sendToPeer(const Endpoint& aPeer, const std::string& aBytes)
 {
+  ++mSimulation.mPeerMessages;
   after(FleetSimulation::kLinkLatency, [this, aPeer, aBytes] {
     if (FleetSimulation::SimulatedNode* simulatedNode = mSimulation.nodeAt(aPeer.mAddress)) {
       simulatedNode->mNode->handleGossip(aBytes);
--- a/bulrushrun/steering/tests/FleetSimulation.h
+++ b/bulrushrun/steering/tests/FleetSimulation.h
@@ -142,6 +142,8 @@
   Duration mLogDuration{ 0 };
   /// Bytes of the responses to peer replication requests.
   std::size_t mPeerReplicationBytes = 0;
+  /// Messages that instances sent to each other.
+  std::size_t mPeerMessages = 0;
   /// Requests that reached the store.
   std::size_t mStoreCalls = 0;
 
