Log each adoption of rows, home regions of requests, and rows that cannot be read

A late configuration, a row that a replica never gets, a request kept under an older configuration and a wrong zone of a target looked alike.

The peer replicator hands the endpoint of the peer on.

--- a/bulrushrun/host/EventCatalogue.h
+++ b/bulrushrun/host/EventCatalogue.h
@@ -29,6 +29,8 @@
 inline constexpr Event kPlatformBack{ 3002, Severity::Info, "platform-back" };
 inline constexpr Event kFeedLost{ 3003, Severity::Warn, "feed-lost" };
 inline constexpr Event kFeedRegained{ 3004, Severity::Info, "feed-regained" };
+inline constexpr Event kRowsAdopted{ 3005, Severity::Info, "rows-adopted" };
+inline constexpr Event kRowsUnreadable{ 3006, Severity::Warn, "rows-unreadable" };
 inline constexpr Event kClaimUnresolved{ 4001, Severity::Warn, "claim-unresolved" };
 inline constexpr Event kOutcomeUnknown{ 4002, Severity::Warn, "outcome-unknown" };
 inline constexpr Event kOutcomeNotStored{ 4003, Severity::Warn, "outcome-not-stored" };
@@ -71,7 +73,8 @@
   kFeedRegained,         kTargetAdded,          kTargetVanished,       kTargetEntryRefused,
   kTargetReplaced,       kRequestEnded,         kRequestRefused,       kSendFailed,
   kLookupRefused,        kTargetZoneUnknown,    kObjectPlaced,         kPlacementsUnreadable,
-  kPlacementsLoaded,     kPlacementsNotSaved,   kPlacementsNotLoaded
+  kPlacementsLoaded,     kPlacementsNotSaved,   kPlacementsNotLoaded,  kRowsAdopted,
+  kRowsUnreadable
 };
 
 } // namespace bulrushrun::events
--- a/bulrushrun/routing/RoutePlan.cpp
+++ b/bulrushrun/routing/RoutePlan.cpp
@@ -33,6 +33,14 @@
   return nullptr;
 }
 
+std::size_t RoutePlan::homeRouteCount() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mRoutes.begin(), mRoutes.end(), [](const Route& aRoute) {
+      return !aRoute.mHomeRegions.empty();
+    }));
+}
+
 const ServicePolicy* RoutePlan::servicePolicy(const ServiceName& aService) const
 {
   const auto found =
--- a/bulrushrun/routing/RoutePlan.h
+++ b/bulrushrun/routing/RoutePlan.h
@@ -80,6 +80,8 @@
   /// \brief \returns the route of the host with the longest matching path prefix, or nullptr.
   /// O(log hosts + routes of the host).
   const Route* match(std::string_view aHost, std::string_view aPath) const;
+  /// \brief \returns the number of routes that are restricted to home regions.
+  std::size_t homeRouteCount() const;
   /// \brief \returns the policy of a service, or nullptr.
   const ServicePolicy* servicePolicy(const ServiceName& aService) const;
 
--- a/bulrushrun/steering/ProxiedRequest.h
+++ b/bulrushrun/steering/ProxiedRequest.h
@@ -16,6 +16,7 @@
 {
   ExchangeId mExchange;
   TargetId mTarget;
+  ZoneName mZone;
   TimePoint mStarted;
   /// The response head, buffered until the body is complete or exceeds the buffer.
   std::optional<ResponseHead> mHead;
--- a/bulrushrun/steering/RequestProxy.h
+++ b/bulrushrun/steering/RequestProxy.h
@@ -145,6 +145,7 @@
                          int aStatus,
                          Headers aHeaders,
                          const std::string& aText);
+  static std::string homeRegionText(const Request& aRequest);
   void finish(Request& aRequest, const char* aOutcome, int aStatus);
 
   // Attempts at targets.
--- a/bulrushrun/steering/RequestProxyActions.h
+++ b/bulrushrun/steering/RequestProxyActions.h
@@ -216,6 +216,21 @@
   respond(*aRequest.mResponder, response);
 }
 
+/// \returns the home regions of the route and the zone of the last target, for the log; empty for a
+/// route without home regions.
+template<class HostType, class Codec>
+std::string RequestProxy<HostType, Codec>::homeRegionText(const Request& aRequest)
+{
+  const std::vector<RegionName>& regions = aRequest.mRoute->mHomeRegions;
+  std::string text;
+  for (const RegionName& region : regions) {
+    text += (text.empty() ? " home_regions=" : ",") + region.text();
+  }
+  return regions.empty()
+           ? text
+           : text + " target_zone=" + (aRequest.mAttempt ? aRequest.mAttempt->mZone.text() : "-");
+}
+
 template<class HostType, class Codec>
 void RequestProxy<HostType, Codec>::finish(Request& aRequest, const char* aOutcome, int aStatus)
 {
@@ -239,6 +254,7 @@
               " news_age_ms=" + std::to_string(toMillis(now - mSteeringState.mSyncedAt)) +
               " sends=" + std::to_string(aRequest.mAttempts) + " outcome=" + aOutcome + " status=" +
               std::to_string(aStatus) + " ms=" + std::to_string(toMillis(now - aRequest.mArrived)) +
+              homeRegionText(aRequest) +
               (aRequest.mReason.empty() ? "" : " reason=\"" + aRequest.mReason + "\""));
   mRequests.erase(aRequest.mId.value());
 }
--- a/bulrushrun/steering/RequestProxyExchange.h
+++ b/bulrushrun/steering/RequestProxyExchange.h
@@ -34,6 +34,7 @@
   aRequest.mTriedTargets.insert(target.mId);
   aRequest.mAttempt = TargetAttempt{};
   aRequest.mAttempt->mTarget = target.mId;
+  aRequest.mAttempt->mZone = target.mZone;
   aRequest.mAttempt->mStarted = now;
   aRequest.mStateMachine.apply(RequestEvent::Dispatched);
   mPicker.stats(target.mId).onAttemptStarted(now);
--- a/bulrushrun/steering/SteeringInstance.h
+++ b/bulrushrun/steering/SteeringInstance.h
@@ -126,6 +126,12 @@
 
   // Tables of the store.
   TableFeedListener tableFeedListener(ReplicatedTable aTable);
+  /// Applies rows with a function of the replica, logs the adoption, and processes what was new.
+  template<class Adopt>
+  void adoptRows(ReplicatedTable aTable,
+                 const std::string& aSource,
+                 const Table& aRows,
+                 const Adopt& aAdopt);
   void onTableChanges(ReplicatedTable aTable, const Table& aChanges);
   bool areTablesRead() const;
   void startReplication();
@@ -137,7 +143,7 @@
   void onTargetRow(const StoreRow& aRow);
   PeerChangesRequest localProgress() const;
   PeerChanges makePeerChanges(const ReplicationProgress& aProgress) const;
-  void applyPeerChanges(const PeerChanges& aChanges);
+  void applyPeerChanges(const PeerChanges& aChanges, const Endpoint& aPeer);
   std::optional<Endpoint> chooseReplicationPeer(bool aLastPeerFailed);
   void onTargetUpdate(const TargetId& aTarget, const ResponseMetadata& aMetadata);
 
--- a/bulrushrun/steering/SteeringInstanceRows.h
+++ b/bulrushrun/steering/SteeringInstanceRows.h
@@ -61,7 +61,8 @@
   }
   mHost.log(events::kPlanAdopted,
             "version=" + std::to_string(plan->mVersion.value()) +
-              " routes=" + std::to_string(plan->mRoutes.size()));
+              " routes=" + std::to_string(plan->mRoutes.size()) +
+              " home_routes=" + std::to_string(plan->homeRouteCount()));
   mSteeringState.mPlan = std::make_shared<const RoutePlan>(std::move(*plan));
   if (mOnLimits) {
     mOnLimits(mSteeringState.mPlan->mLimits);
--- a/bulrushrun/steering/SteeringInstanceService.h
+++ b/bulrushrun/steering/SteeringInstanceService.h
@@ -171,12 +171,17 @@
           counters.mCallersDisconnected);
   std::uint64_t tableReads = 0;
   std::uint64_t feedCalls = 0;
+  std::uint64_t unreadableRows = 0;
   for (const FeedReader& feedReader : mFeedReaders) {
     tableReads += feedReader.tableReads();
     feedCalls += feedReader.feedCalls();
+    unreadableRows += feedReader.unreadableRows();
   }
   counter("store_table_reads_total", "Calls to the store that read a table.", tableReads);
   counter("store_feed_calls_total", "Calls to the store that read a change feed.", feedCalls);
+  counter("store_unreadable_rows_total",
+          "Rows of the store that were left out because they could not be read.",
+          unreadableRows);
   counter("store_registration_calls_total",
           "Calls to the store that read or write the table of instances.",
           mRegistrationCalls);
--- a/bulrushrun/steering/SteeringInstanceTables.h
+++ b/bulrushrun/steering/SteeringInstanceTables.h
@@ -52,7 +52,9 @@
       replicationPeriod(),
       { [this] { return localProgress(); },
         [this](const ReplicationProgress& aProgress) { return makePeerChanges(aProgress); },
-        [this](const PeerChanges& aChanges) { applyPeerChanges(aChanges); },
+        [this](const PeerChanges& aChanges, const Endpoint& aPeer) {
+          applyPeerChanges(aChanges, aPeer);
+        },
         [this](bool aLastPeerFailed) { return chooseReplicationPeer(aLastPeerFailed); } })
   , mPlacementAnnouncer(aHost, mProxy.placements())
   , mPlacementArchive(aHost,
@@ -105,16 +107,19 @@
 TableFeedListener SteeringInstance<HostType, Adapter>::tableFeedListener(ReplicatedTable aTable)
 {
   const std::size_t index = static_cast<std::size_t>(aTable);
-  const std::string name =
-    std::string("table=") + (aTable == ReplicatedTable::Operator ? "operator" : "targets");
+  const std::string name = "table=" + tableText(aTable);
   TableFeedListener listener;
   listener.mOnSnapshot = [this, aTable, index](const Table& aRows, RecordVersion aVersion) {
     setCurrent(aTable, mHost.now());
-    onTableChanges(aTable, mReplicas[index].applySnapshot(aRows, aVersion));
+    adoptRows(aTable, "read", aRows, [&](TableReplica& aReplica) {
+      return aReplica.applySnapshot(aRows, aVersion);
+    });
   };
   listener.mOnChanges = [this, aTable, index](const Table& aRows) {
     setCurrent(aTable, mHost.now());
-    onTableChanges(aTable, mReplicas[index].apply(aRows, mFeedReaders[index].version()));
+    adoptRows(aTable, "feed", aRows, [&](TableReplica& aReplica) {
+      return aReplica.apply(aRows, mFeedReaders[index].version());
+    });
   };
   listener.mOnAvailability = [this, index, name](bool aAvailable, const std::string& aReason) {
     startReplication();
@@ -133,6 +138,27 @@
   mSteeringState.mSyncedAt = mSyncedAt[static_cast<std::size_t>(ReplicatedTable::Targets)];
 }
 
+template<class HostType, class Adapter>
+template<class Adopt>
+void SteeringInstance<HostType, Adapter>::adoptRows(ReplicatedTable aTable,
+                                                    const std::string& aSource,
+                                                    const Table& aRows,
+                                                    const Adopt& aAdopt)
+{
+  TableReplica& replica = mReplicas[static_cast<std::size_t>(aTable)];
+  const RecordVersion before = replica.completeVersion();
+  const Table applied = aAdopt(replica);
+  if (!aRows.empty() || replica.completeVersion() != before) {
+    mHost.log(events::kRowsAdopted,
+              "table=" + tableText(aTable) + " source=" + aSource +
+                " from=" + std::to_string(before.value()) +
+                " to=" + std::to_string(replica.completeVersion().value()) +
+                " newest=" + std::to_string(replica.newestVersion().value()) + " rows=" +
+                std::to_string(aRows.size()) + " applied=" + std::to_string(applied.size()));
+  }
+  onTableChanges(aTable, applied);
+}
+
 template<class HostType, class Adapter>
 void SteeringInstance<HostType, Adapter>::onTableChanges(ReplicatedTable aTable,
                                                          const Table& aChanges)
@@ -206,7 +232,8 @@
 }
 
 template<class HostType, class Adapter>
-void SteeringInstance<HostType, Adapter>::applyPeerChanges(const PeerChanges& aChanges)
+void SteeringInstance<HostType, Adapter>::applyPeerChanges(const PeerChanges& aChanges,
+                                                           const Endpoint& aPeer)
 {
   const TimePoint currentAt = mHost.now() - aChanges.mStaleness;
   for (std::size_t i = 0; i < kReplicatedTables; ++i) {
@@ -215,8 +242,9 @@
       setCurrent(table, currentAt);
     }
     mFeedReaders[i].advanceTo(aChanges.mProgress[i].mCompleteVersion);
-    onTableChanges(table,
-                   mReplicas[i].apply(aChanges.mRows[i], aChanges.mProgress[i].mCompleteVersion));
+    adoptRows(table, "peer peer=" + aPeer.text(), aChanges.mRows[i], [&](TableReplica& aReplica) {
+      return aReplica.apply(aChanges.mRows[i], aChanges.mProgress[i].mCompleteVersion);
+    });
   }
 }
 
--- a/bulrushrun/store/PeerReplicationCodec.h
+++ b/bulrushrun/store/PeerReplicationCodec.h
@@ -20,6 +20,12 @@
 
 inline constexpr std::size_t kReplicatedTables = 2;
 
+/// \brief \returns the name of a table for the log.
+inline std::string tableText(ReplicatedTable aTable)
+{
+  return aTable == ReplicatedTable::Operator ? "operator" : "targets";
+}
+
 /// \brief Versions up to which an instance has received the changes of a table.
 struct TableProgress
 {
--- a/bulrushrun/store/PeerReplicator.h
+++ b/bulrushrun/store/PeerReplicator.h
@@ -21,8 +21,8 @@
   std::function<PeerChangesRequest()> mLocalProgress;
   /// \returns the changes beyond a progress, with the staleness of this instance's replicas.
   std::function<PeerChanges(const ReplicationProgress&)> mMakePeerChanges;
-  /// Applies changes received from a peer.
-  std::function<void(const PeerChanges&)> mOnPeerChanges;
+  /// Applies changes received from the peer at an endpoint.
+  std::function<void(const PeerChanges&, const Endpoint&)> mOnPeerChanges;
   /// \returns the peer for the next requests; the flag is true when the last response failed or was
   /// stale.
   std::function<std::optional<Endpoint>(bool)> mChoosePeer;
@@ -151,24 +151,25 @@
     mRequestedAt = mHost.now();
     mRequestedProgress = own.mProgress;
     request.mPath = peerChangesPath(own);
+    const Endpoint peer = *mPeer;
     startBufferedExchange(mHost,
-                          *mPeer,
+                          peer,
                           std::move(request),
                           mPeriod + kTransferAllowance,
                           kMaxResponseBytes,
-                          [this](ExchangeResult aResult, const HttpResponse& aResponse) {
-                            onResponse(aResult, aResponse);
+                          [this, peer](ExchangeResult aResult, const HttpResponse& aResponse) {
+                            onResponse(peer, aResult, aResponse);
                           });
   }
 
-  void onResponse(ExchangeResult aResult, const HttpResponse& aResponse)
+  void onResponse(const Endpoint& aPeer, ExchangeResult aResult, const HttpResponse& aResponse)
   {
     const std::optional<PeerChanges> changes = aResult == ExchangeResult::Complete
                                                  ? decodePeerChanges(aResponse.mBody, mKeys)
                                                  : std::nullopt;
     mLastResponseUnusable = !changes || changes->mStaleness > mPeriod + kTransferAllowance;
     if (changes) {
-      mCallbacks.mOnPeerChanges(*changes);
+      mCallbacks.mOnPeerChanges(*changes, aPeer);
     }
     const bool hasNoProgress = mHost.now() - mRequestedAt < kRetryDelay &&
                                mCallbacks.mLocalProgress().mProgress == mRequestedProgress;
--- a/bulrushrun/store/StoreRow.h
+++ b/bulrushrun/store/StoreRow.h
@@ -47,6 +47,8 @@
 {
   RowReadStatus mStatus = RowReadStatus::Unavailable;
   RowBatch mBatch;
+  /// Rows that were left out because they have no key or no version.
+  std::size_t mUnreadableRows = 0;
   /// Reason of a failure, for the log.
   std::string mReason;
 };
--- a/bulrushrun/store/TableFeedReader.h
+++ b/bulrushrun/store/TableFeedReader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bulrushrun/host/EventCatalogue.h"
 #include "bulrushrun/host/Http.h"
 #include "bulrushrun/store/BufferedExchange.h"
 #include "bulrushrun/store/StoreRow.h"
@@ -78,6 +79,8 @@
   std::uint64_t tableReads() const { return mTableReads; }
   /// \brief \returns the number of calls that read the change feed.
   std::uint64_t feedCalls() const { return mFeedCalls; }
+  /// \brief \returns the number of rows that were left out because they could not be read.
+  std::uint64_t unreadableRows() const { return mUnreadableRows; }
 
 private:
   static constexpr Duration kReadTimeout = std::chrono::milliseconds(1500);
@@ -175,21 +178,27 @@
 
   void call(HttpRequest aRequest, Duration aTimeout, std::function<void(RowReadResult)> aDone)
   {
-    startBufferedExchange(
-      mHost,
-      mStore,
-      std::move(aRequest),
-      aTimeout,
-      kMaxResponseBytes,
-      [done = std::move(aDone)](ExchangeResult aExchangeResult, const HttpResponse& aResponse) {
-        RowReadResult result;
-        if (aExchangeResult == ExchangeResult::Complete) {
-          result = Protocol::parseReadResponse(aResponse);
-        } else {
-          result.mReason = "no response";
-        }
-        done(std::move(result));
-      });
+    startBufferedExchange(mHost,
+                          mStore,
+                          std::move(aRequest),
+                          aTimeout,
+                          kMaxResponseBytes,
+                          [this, done = std::move(aDone)](ExchangeResult aExchangeResult,
+                                                          const HttpResponse& aResponse) {
+                            RowReadResult result;
+                            if (aExchangeResult == ExchangeResult::Complete) {
+                              result = Protocol::parseReadResponse(aResponse);
+                              if (result.mUnreadableRows > 0) {
+                                mUnreadableRows += result.mUnreadableRows;
+                                mHost.log(events::kRowsUnreadable,
+                                          "table=" + mTable +
+                                            " rows=" + std::to_string(result.mUnreadableRows));
+                              }
+                            } else {
+                              result.mReason = "no response";
+                            }
+                            done(std::move(result));
+                          });
   }
 
   HostType& mHost;
@@ -205,6 +214,7 @@
   bool mSuspended = false;
   std::uint64_t mTableReads = 0;
   std::uint64_t mFeedCalls = 0;
+  std::uint64_t mUnreadableRows = 0;
 };
 
 } // namespace bulrushrun
