An instance learns removals that happened before a peer read the table

The operator's table goes the same way: a zone that was taken back would stay evacuated at one instance.

Cause: a read of the table does not contain the rows that were removed before it. An instance that read the table at version 537 answered a peer whose table was complete to 517 with the rows changed since and with 'complete to 537'. The removals between the two were in nobody's answer, and the version of completeness passed over them. After a restart of the fleet nobody follows the feed for a second, so nearly every instance learns from peers that read the table later.

Change: a replica knows from which version on it knows all removals. A peer's version of completeness is adopted only if the peer knows all removals since the own version, sent its whole table, or has the same digest of keys and versions; else the store's feed is read once from the own version. While the store does not respond, a peer is asked for its whole table. The new items of a peer's response are at the ends of their lists, so that instances of both versions understand each other.

Ruled out: the store (its rows and versions agree in every log), multi-page reads while nobody else is heard (they are repeated by the feed), the order of rows of one response.

--- a/bulrushrun/host/EventCatalogue.h
+++ b/bulrushrun/host/EventCatalogue.h
@@ -31,6 +31,7 @@
 inline constexpr Event kFeedRegained{ 3004, Severity::Info, "feed-regained" };
 inline constexpr Event kRowsAdopted{ 3005, Severity::Info, "rows-adopted" };
 inline constexpr Event kRowsUnreadable{ 3006, Severity::Warn, "rows-unreadable" };
+inline constexpr Event kReplicaDiverged{ 3007, Severity::Warn, "replica-diverged" };
 inline constexpr Event kClaimUnresolved{ 4001, Severity::Warn, "claim-unresolved" };
 inline constexpr Event kOutcomeUnknown{ 4002, Severity::Warn, "outcome-unknown" };
 inline constexpr Event kOutcomeNotStored{ 4003, Severity::Warn, "outcome-not-stored" };
@@ -74,7 +75,7 @@
   kTargetReplaced,       kRequestEnded,         kRequestRefused,       kSendFailed,
   kLookupRefused,        kTargetZoneUnknown,    kObjectPlaced,         kPlacementsUnreadable,
   kPlacementsLoaded,     kPlacementsNotSaved,   kPlacementsNotLoaded,  kRowsAdopted,
-  kRowsUnreadable
+  kRowsUnreadable,       kReplicaDiverged
 };
 
 } // namespace bulrushrun::events
--- a/bulrushrun/steering/SteeringInstance.h
+++ b/bulrushrun/steering/SteeringInstance.h
@@ -66,6 +66,11 @@
 
   /// \brief \returns true when callers may use this instance.
   bool isReady() const { return isInitialized() && !mDrain.isDraining(); }
+  /// \brief \returns this instance's replica of a table.
+  const TableReplica& replica(ReplicatedTable aTable) const
+  {
+    return mReplicas[static_cast<std::size_t>(aTable)];
+  }
   /// \brief Sets the callback for the moment from which a draining instance accepts no requests.
   void setOnAcceptingEnded(std::function<void()> aOnAcceptingEnded)
   {
@@ -113,6 +118,8 @@
   /// allows for one lost response; the rest of the bound is for reading.
   static constexpr double kReplicationPeriodShare = 0.36;
   static constexpr double kStaleShare = 0.56;
+  /// Shortest time between two reads of a table because replicas differ.
+  static constexpr Duration kMinReadAgainPeriod = std::chrono::seconds(10);
 
   /// \returns true when configuration and targets were read.
   bool isInitialized() const
@@ -142,8 +149,10 @@
   void setEvacuated(std::set<ZoneName> aZones);
   void onTargetRow(const StoreRow& aRow);
   PeerChangesRequest localProgress() const;
+  PeerChangesRequest makePeerRequest() const;
   PeerChanges makePeerChanges(const ReplicationProgress& aProgress) const;
   void applyPeerChanges(const PeerChanges& aChanges, const Endpoint& aPeer);
+  void onDivergence(ReplicatedTable aTable, const Endpoint& aPeer);
   std::optional<Endpoint> chooseReplicationPeer(bool aLastPeerFailed);
   void onTargetUpdate(const TargetId& aTarget, const ResponseMetadata& aMetadata);
 
@@ -174,6 +183,9 @@
   std::array<TableReplica, kReplicatedTables> mReplicas;
   /// When each table was last known to match the store's.
   std::array<TimePoint, kReplicatedTables> mSyncedAt;
+  /// Peers cannot prove that their changes of the table are complete, so the store is asked.
+  std::array<bool, kReplicatedTables> mStoreNeeded{};
+  std::array<TimePoint, kReplicatedTables> mReadAgainAt;
   PeerReplicator<HostType> mPeerReplication;
   PlacementAnnouncer<HostType> mPlacementAnnouncer;
   PlacementArchive<HostType, StoreProtocol> mPlacementArchive;
@@ -202,6 +214,8 @@
 
 // Definitions of the member functions: tables of the store.
 #include "bulrushrun/steering/SteeringInstanceTables.h"
+// Replication of the tables between peers.
+#include "bulrushrun/steering/SteeringInstanceReplication.h"
 // Rows of the tables.
 #include "bulrushrun/steering/SteeringInstanceRows.h"
 // Membership.
--- a/bulrushrun/steering/SteeringInstanceTables.h
+++ b/bulrushrun/steering/SteeringInstanceTables.h
@@ -3,7 +3,7 @@
 #include "bulrushrun/steering/SteeringInstance.h"
 
 /// \file
-/// \brief SteeringInstance: reading the store's tables and replicating them between peers.
+/// \brief SteeringInstance: reading the store's tables.
 
 namespace bulrushrun {
 
@@ -51,6 +51,7 @@
       aSettings.mPeerKeys,
       replicationPeriod(),
       { [this] { return localProgress(); },
+        [this] { return makePeerRequest(); },
         [this](const ReplicationProgress& aProgress) { return makePeerChanges(aProgress); },
         [this](const PeerChanges& aChanges, const Endpoint& aPeer) {
           applyPeerChanges(aChanges, aPeer);
@@ -111,12 +112,15 @@
   TableFeedListener listener;
   listener.mOnSnapshot = [this, aTable, index](const Table& aRows, RecordVersion aVersion) {
     setCurrent(aTable, mHost.now());
+    mStoreNeeded[index] = false;
     adoptRows(aTable, "read", aRows, [&](TableReplica& aReplica) {
       return aReplica.applySnapshot(aRows, aVersion);
     });
   };
   listener.mOnChanges = [this, aTable, index](const Table& aRows) {
     setCurrent(aTable, mHost.now());
+    mStoreNeeded[index] = false;
+    updateReaderRole();
     adoptRows(aTable, "feed", aRows, [&](TableReplica& aReplica) {
       return aReplica.apply(aRows, mFeedReaders[index].version());
     });
@@ -192,74 +196,4 @@
     mSyncedAt.begin(), mSyncedAt.end(), [](TimePoint aWhen) { return aWhen == TimePoint{}; });
 }
 
-/// Peers replicate changes only. Complete tables are read from the store, which serves many
-/// instances at once; each of a few peers would have to send them to a large part of the fleet.
-/// Only when the store is unavailable do they come from a peer.
-template<class HostType, class Adapter>
-void SteeringInstance<HostType, Adapter>::startReplication()
-{
-  if (!std::exchange(mReplicationStarted, true)) {
-    mPeerReplication.start();
-  }
-}
-
-template<class HostType, class Adapter>
-PeerChangesRequest SteeringInstance<HostType, Adapter>::localProgress() const
-{
-  PeerChangesRequest local;
-  const TimePoint now = mHost.now();
-  for (std::size_t i = 0; i < kReplicatedTables; ++i) {
-    local.mProgress[i] = { mReplicas[i].completeVersion(), mReplicas[i].newestVersion() };
-    local.mStaleness = std::max(local.mStaleness, now - mSyncedAt[i]);
-  }
-  return local;
-}
-
-template<class HostType, class Adapter>
-PeerChanges SteeringInstance<HostType, Adapter>::makePeerChanges(
-  const ReplicationProgress& aProgress) const
-{
-  PeerChanges changes;
-  const PeerChangesRequest local = localProgress();
-  changes.mStaleness = local.mStaleness;
-  changes.mProgress = local.mProgress;
-  for (std::size_t i = 0; i < kReplicatedTables; ++i) {
-    if (aProgress[i] != changes.mProgress[i]) {
-      changes.mRows[i] = mReplicas[i].changesSince(aProgress[i].mCompleteVersion);
-    }
-  }
-  return changes;
-}
-
-template<class HostType, class Adapter>
-void SteeringInstance<HostType, Adapter>::applyPeerChanges(const PeerChanges& aChanges,
-                                                           const Endpoint& aPeer)
-{
-  const TimePoint currentAt = mHost.now() - aChanges.mStaleness;
-  for (std::size_t i = 0; i < kReplicatedTables; ++i) {
-    const ReplicatedTable table = static_cast<ReplicatedTable>(i);
-    if (aChanges.mProgress[i].mCompleteVersion > RecordVersion{}) {
-      setCurrent(table, currentAt);
-    }
-    mFeedReaders[i].advanceTo(aChanges.mProgress[i].mCompleteVersion);
-    adoptRows(table, "peer peer=" + aPeer.text(), aChanges.mRows[i], [&](TableReplica& aReplica) {
-      return aReplica.apply(aChanges.mRows[i], aChanges.mProgress[i].mCompleteVersion);
-    });
-  }
-}
-
-/// A few instances read the store for the fleet; one whose tables become stale reads it, too.
-template<class HostType, class Adapter>
-void SteeringInstance<HostType, Adapter>::updateReaderRole()
-{
-  const Duration maxStaleness = fromSeconds(kStaleShare * toSeconds(tightestPropagationBound()));
-  const bool hasJoined = mGossip && mHost.now() - mRegisteredAt >= kRoleSettleTime;
-  const bool isAssignedReader = hasJoined && mReplicationRoles.isStoreReader(mSettings.mInstance);
-  const bool readsStore =
-    isAssignedReader || (areTablesRead() && localProgress().mStaleness > maxStaleness);
-  for (FeedReader& feedReader : mFeedReaders) {
-    feedReader.setActive(readsStore);
-  }
-}
-
 } // namespace bulrushrun
--- a/bulrushrun/steering/tests/FleetSimulation.cpp
+++ b/bulrushrun/steering/tests/FleetSimulation.cpp
@@ -42,7 +42,8 @@
   mSimulation.mExchanges[id.value()] = {
     mOwnEndpoint, aTo, std::move(aRequest), std::move(aListener)
   };
-  after(FleetSimulation::kLinkLatency, [this, id] { mSimulation.deliver(id); });
+  after(FleetSimulation::kLinkLatency + mSimulation.extraLatency(aTo),
+        [this, id] { mSimulation.deliver(id); });
   return id;
 }
 
@@ -179,7 +180,17 @@
 
 void FleetSimulation::finish(ExchangeId aExchange, const HttpResponse& aResponse)
 {
-  mTimers.add(mNow + kLinkLatency, [this, aExchange, aResponse] {
+  const auto exchange = mExchanges.find(aExchange.value());
+  if (exchange == mExchanges.end()) {
+    return;
+  }
+  const Endpoint to = exchange->second.mTo;
+  const bool isTarget = to.mPort == kTargetPort;
+  if (!isTarget && mLostResponseShare > 0 && mRandom.unit() < mLostResponseShare) {
+    return;
+  }
+  const Duration delay = to.mPort == kReplicationPort ? mPeerResponseDelay : Duration{ 0 };
+  mTimers.add(mNow + kLinkLatency + delay + extraLatency(to), [this, aExchange, aResponse] {
     const auto found = mExchanges.find(aExchange.value());
     if (found == mExchanges.end()) {
       return;
@@ -196,6 +207,14 @@
   });
 }
 
+Duration FleetSimulation::extraLatency(const Endpoint& aTo)
+{
+  if (mMaxExtraLatency == Duration{ 0 } || aTo.mPort == kTargetPort) {
+    return Duration{ 0 };
+  }
+  return fromSeconds(toSeconds(mMaxExtraLatency) * mRandom.unit());
+}
+
 void FleetSimulation::putTarget(const std::string& aId,
                                 const std::string& aState,
                                 int aSlots,
--- a/bulrushrun/steering/tests/FleetSimulation.h
+++ b/bulrushrun/steering/tests/FleetSimulation.h
@@ -102,6 +102,12 @@
 public:
   static constexpr Duration kLinkLatency = std::chrono::milliseconds(2);
 
+  /// \param aSeed  of the random latencies and losses
+  explicit FleetSimulation(std::uint64_t aSeed = 1)
+    : mRandom(aSeed)
+  {
+  }
+
   /// \brief Adds an instance without starting it.
   SimulatedInstance& add(const std::string& aName, const std::string& aZone);
   SimulatedInstance& node(const std::string& aName) { return *mNodes.at(aName).mNode; }
@@ -140,6 +146,12 @@
   std::set<std::string> mStoreUnreachableFrom;
   /// Virtual time that writing a log line takes.
   Duration mLogDuration{ 0 };
+  /// Exchanges with the store and between instances take up to this much longer, at random.
+  Duration mMaxExtraLatency{ 0 };
+  /// Probability that the response of such an exchange is lost.
+  double mLostResponseShare = 0;
+  /// Additional time that responses between instances take.
+  Duration mPeerResponseDelay{ 0 };
   /// Bytes of the responses to peer replication requests.
   std::size_t mPeerReplicationBytes = 0;
   /// Messages that instances sent to each other.
@@ -161,6 +173,7 @@
   void deliverToStore(ExchangeId aExchange);
   void deliverToInstance(SimulatedNode& aSimulatedNode, ExchangeId aExchange);
   void finish(ExchangeId aExchange, const HttpResponse& aResponse);
+  Duration extraLatency(const Endpoint& aTo);
   void answerPendingFeeds();
   SimulatedNode* nodeAt(std::uint32_t aAddress);
 
@@ -172,6 +185,7 @@
   std::set<std::uint64_t> mPendingFeeds;
   ExchangeId mLastExchange;
   std::uint32_t mLastAddress = 0x0a000000;
+  Random mRandom{ 1 };
 };
 
 } // namespace bulrushrun::steering_test
--- a/bulrushrun/store.h
+++ b/bulrushrun/store.h
@@ -17,6 +17,7 @@
 #include "bulrushrun/store/TableFeedReader.h"
 #include "bulrushrun/store/TableReplica.h"
 // Replication of its tables between instances.
+#include "bulrushrun/store/PeerAdoption.h"
 #include "bulrushrun/store/PeerReplicationCodec.h"
 #include "bulrushrun/store/PeerReplicator.h"
 #include "bulrushrun/store/SignedPayload.h"
--- a/bulrushrun/store/PeerReplicationCodec.cpp
+++ b/bulrushrun/store/PeerReplicationCodec.cpp
@@ -17,17 +17,28 @@
 constexpr std::size_t kRequestNumbers = 2 * kReplicatedTables + 2;
 
 using WireRow = std::tuple<std::string, std::string, std::uint64_t, bool>;
-using WireTable = std::tuple<std::uint64_t, std::uint64_t, std::vector<WireRow>>;
-using WireChanges = std::tuple<std::int64_t, std::vector<WireTable>>;
+/// Complete version, newest version, rows, version from which removals are known, digest. Items
+/// that an older instance does not send are zero.
+using WireTable =
+  std::tuple<std::uint64_t, std::uint64_t, std::vector<WireRow>, std::uint64_t, std::uint64_t>;
+/// Staleness in milliseconds, tables, and one more than the milliseconds for which the request was
+/// held; zero from an older instance.
+using WireChanges = std::tuple<std::int64_t, std::vector<WireTable>, std::int64_t>;
 
-WireTable toWire(const TableProgress& aProgress, const std::vector<StoreRow>& aRows)
+WireTable toWire(const TableProgress& aProgress,
+                 const std::vector<StoreRow>& aRows,
+                 const ReplicaSummary& aSummary)
 {
   std::vector<WireRow> rows;
   rows.reserve(aRows.size());
   for (const StoreRow& row : aRows) {
     rows.emplace_back(row.mKey, row.mValue, row.mVersion.value(), row.mRemoved);
   }
-  return { aProgress.mCompleteVersion.value(), aProgress.mNewestVersion.value(), std::move(rows) };
+  return { aProgress.mCompleteVersion.value(),
+           aProgress.mNewestVersion.value(),
+           std::move(rows),
+           aSummary.mRemovalsKnownFrom.value(),
+           aSummary.mDigest };
 }
 
 } // namespace
@@ -75,10 +86,11 @@
 {
   std::vector<WireTable> tables;
   for (std::size_t i = 0; i < kReplicatedTables; ++i) {
-    tables.push_back(toWire(aChanges.mProgress[i], aChanges.mRows[i]));
+    tables.push_back(toWire(aChanges.mProgress[i], aChanges.mRows[i], aChanges.mSummaries[i]));
   }
+  const std::int64_t held = aChanges.mHeld ? toMillis(*aChanges.mHeld) + 1 : 0;
   const std::string payload =
-    packMessage(WireChanges{ toMillis(aChanges.mStaleness), std::move(tables) });
+    packMessage(WireChanges{ toMillis(aChanges.mStaleness), std::move(tables), held });
   return signPayload(payload, aKey);
 }
 
@@ -93,8 +105,12 @@
   }
   PeerChanges changes;
   changes.mStaleness = std::chrono::milliseconds(std::max<std::int64_t>(std::get<0>(*wire), 0));
+  if (std::get<2>(*wire) > 0) {
+    changes.mHeld = std::chrono::milliseconds(std::get<2>(*wire) - 1);
+  }
   for (std::size_t i = 0; i < kReplicatedTables; ++i) {
-    const auto& [complete, newest, rows] = std::get<1>(*wire)[i];
+    const auto& [complete, newest, rows, removalsKnownFrom, digest] = std::get<1>(*wire)[i];
+    changes.mSummaries[i] = { RecordVersion{ removalsKnownFrom }, digest };
     changes.mProgress[i] = { RecordVersion{ complete }, RecordVersion{ newest } };
     for (const auto& [key, value, version, removed] : rows) {
       changes.mRows[i].push_back({ key, value, RecordVersion{ version }, removed });
--- a/bulrushrun/store/PeerReplicationCodec.h
+++ b/bulrushrun/store/PeerReplicationCodec.h
@@ -39,12 +39,29 @@
 
 using ReplicationProgress = std::array<TableProgress, kReplicatedTables>;
 
+/// \brief What a requester needs to tell whether the changes that it got are all that it lacked.
+struct ReplicaSummary
+{
+  /// The responder knows every removal after this version. To a requester whose replica is older,
+  /// its changes may lack removals.
+  RecordVersion mRemovalsKnownFrom;
+  /// Digest of the responder's rows; 0 from instances that do not report it.
+  std::uint64_t mDigest = 0;
+
+  bool operator==(const ReplicaSummary&) const = default;
+};
+
 /// \brief Response to a request for changes of the store's tables.
 struct PeerChanges
 {
   /// Time since the responder's replicas were current at the store.
   Duration mStaleness{ 0 };
+  /// Time for which the responder held the request; empty from instances that do not report it.
+  std::optional<Duration> mHeld;
   ReplicationProgress mProgress;
+  /// Progress that the request stated; filled in by the requester.
+  ReplicationProgress mRequested;
+  std::array<ReplicaSummary, kReplicatedTables> mSummaries;
   std::array<std::vector<StoreRow>, kReplicatedTables> mRows;
 };
 
--- a/bulrushrun/store/PeerReplicator.h
+++ b/bulrushrun/store/PeerReplicator.h
@@ -19,6 +19,9 @@
 {
   /// \returns the progress and staleness of this instance's replicas.
   std::function<PeerChangesRequest()> mLocalProgress;
+  /// \returns the progress beyond which changes are requested; a version of 0 requests the whole
+  /// table.
+  std::function<PeerChangesRequest()> mMakeRequest;
   /// \returns the changes beyond a progress, with the staleness of this instance's replicas.
   std::function<PeerChanges(const ReplicationProgress&)> mMakePeerChanges;
   /// Applies changes received from the peer at an endpoint.
@@ -68,6 +71,7 @@
     const TimePoint now = mHost.now();
     mPendingRequests.push_back({ aResponder,
                                  request->mProgress,
+                                 now,
                                  now - request->mStaleness,
                                  now + std::min(request->mMaxWait, kMaxWait) });
     respondToPendingRequests();
@@ -87,7 +91,8 @@
       if (!hasChanges && !isFresher && now < aPending.mExpiresAt) {
         return aPending.mResponder->isDisconnected();
       }
-      const PeerChanges changes = mCallbacks.mMakePeerChanges(aPending.mProgress);
+      PeerChanges changes = mCallbacks.mMakePeerChanges(aPending.mProgress);
+      changes.mHeld = now - aPending.mReceivedAt;
       HttpResponse response;
       response.mHead.mHeaders = { { "Content-Type", "application/octet-stream" } };
       response.mBody = encodePeerChanges(changes, mKeys.front());
@@ -113,6 +118,7 @@
   {
     ResponderPtr mResponder;
     ReplicationProgress mProgress;
+    TimePoint mReceivedAt;
     TimePoint mReplicasCurrentAt;
     TimePoint mExpiresAt;
   };
@@ -146,7 +152,7 @@
     }
     HttpRequest request;
     request.mMethod = "GET";
-    PeerChangesRequest own = mCallbacks.mLocalProgress();
+    PeerChangesRequest own = mCallbacks.mMakeRequest();
     own.mMaxWait = mPeriod;
     mRequestedAt = mHost.now();
     mRequestedProgress = own.mProgress;
@@ -164,11 +170,12 @@
 
   void onResponse(const Endpoint& aPeer, ExchangeResult aResult, const HttpResponse& aResponse)
   {
-    const std::optional<PeerChanges> changes = aResult == ExchangeResult::Complete
-                                                 ? decodePeerChanges(aResponse.mBody, mKeys)
-                                                 : std::nullopt;
+    std::optional<PeerChanges> changes = aResult == ExchangeResult::Complete
+                                           ? decodePeerChanges(aResponse.mBody, mKeys)
+                                           : std::nullopt;
     mLastResponseUnusable = !changes || changes->mStaleness > mPeriod + kTransferAllowance;
     if (changes) {
+      changes->mRequested = mRequestedProgress;
       mCallbacks.mOnPeerChanges(*changes, aPeer);
     }
     const bool hasNoProgress = mHost.now() - mRequestedAt < kRetryDelay &&
--- a/bulrushrun/store/TableFeedReader.h
+++ b/bulrushrun/store/TableFeedReader.h
@@ -67,6 +67,18 @@
     }
   }
 
+  /// \brief Reads the table again, after the call in progress if there is one.
+  void readAgain()
+  {
+    mTableRequested = true;
+    if (std::exchange(mSuspended, false)) {
+      requestFeed();
+    }
+  }
+
+  /// \brief \returns true while the last call to the store succeeded.
+  bool isAvailable() const { return mAvailable; }
+
   /// \brief Skips changes up to a version, all of which were received from peers.
   void advanceTo(RecordVersion aVersion) { mVersion = std::max(mVersion, aVersion); }
 
@@ -109,7 +121,7 @@
     }
     if (mPendingRows.empty()) {
       // The version of the first page: changes between the pages are repeated by the feed.
-      mVersion = aResult.mBatch.mVersion;
+      mSnapshotVersion = aResult.mBatch.mVersion;
     }
     std::vector<StoreRow>& rows = aResult.mBatch.mRows;
     mPendingRows.insert(mPendingRows.end(), rows.begin(), rows.end());
@@ -118,6 +130,7 @@
       return;
     }
     onSuccess();
+    mVersion = std::max(mVersion, mSnapshotVersion);
     mListener.mOnSnapshot(std::exchange(mPendingRows, {}), mVersion);
     requestFeed();
   }
@@ -126,6 +139,10 @@
 
   void requestFeed(Duration aWait)
   {
+    if (std::exchange(mTableRequested, false)) {
+      readPage("");
+      return;
+    }
     if (!mActive) {
       mSuspended = true;
       return;
@@ -208,10 +225,13 @@
   TableFeedListener mListener;
   std::vector<StoreRow> mPendingRows;
   RecordVersion mVersion;
+  /// Version of the read in progress. Peers may advance mVersion meanwhile.
+  RecordVersion mSnapshotVersion;
   Duration mBackoff = kMinBackoff;
   bool mAvailable = true;
   bool mActive = true;
   bool mSuspended = false;
+  bool mTableRequested = false;
   std::uint64_t mTableReads = 0;
   std::uint64_t mFeedCalls = 0;
   std::uint64_t mUnreadableRows = 0;
--- a/bulrushrun/store/TableReplica.cpp
+++ b/bulrushrun/store/TableReplica.cpp
@@ -1,21 +1,35 @@
 #include "bulrushrun/store/TableReplica.h"
 
+#include "bulrushrun/core/Hash.h"
+
 #include <algorithm>
 #include <set>
 
 namespace bulrushrun {
 
+namespace {
+
+std::uint64_t digestOf(const StoreRow& aRow)
+{
+  return aRow.mRemoved ? 0 : combineHashes(hashText(aRow.mKey), aRow.mVersion.value());
+}
+
+} // namespace
+
+void TableReplica::replaceRow(StoreRow& aKnown, const StoreRow& aRow)
+{
+  mDigest += digestOf(aRow) - digestOf(aKnown);
+  aKnown = aRow;
+  mNewestVersion = std::max(mNewestVersion, aRow.mVersion);
+}
+
 bool TableReplica::applyRow(const StoreRow& aRow)
 {
-  if (aRow.mVersion <= mCompleteVersion && !mRows.contains(aRow.mKey)) {
-    return false;
-  }
-  const auto [row, inserted] = mRows.try_emplace(aRow.mKey, aRow);
+  const auto [row, inserted] = mRows.try_emplace(aRow.mKey, StoreRow{ aRow.mKey, "", {}, true });
   if (!inserted && aRow.mVersion <= row->second.mVersion) {
     return false;
   }
-  row->second = aRow;
-  mNewestVersion = std::max(mNewestVersion, aRow.mVersion);
+  replaceRow(row->second, aRow);
   return true;
 }
 
@@ -24,7 +38,8 @@
 {
   std::vector<StoreRow> applied;
   for (const StoreRow& row : aRows) {
-    if (applyRow(row)) {
+    const bool removedBefore = row.mVersion <= mCompleteVersion && !mRows.contains(row.mKey);
+    if (!removedBefore && applyRow(row)) {
       applied.push_back(row);
     }
   }
@@ -35,22 +50,39 @@
 std::vector<StoreRow> TableReplica::applySnapshot(const std::vector<StoreRow>& aRows,
                                                   RecordVersion aVersion)
 {
-  std::vector<StoreRow> applied = apply(aRows, aVersion);
+  if (aVersion < mCompleteVersion) {
+    // An older read than what is known: rows that it lacks may have been added since.
+    return apply(aRows, aVersion);
+  }
+  std::vector<StoreRow> applied;
   std::set<std::string> snapshotKeys;
   for (const StoreRow& row : aRows) {
     snapshotKeys.insert(row.mKey);
+    // A row of the snapshot exists, even if its version was passed over before.
+    if (applyRow(row)) {
+      applied.push_back(row);
+    }
   }
   for (auto row = mRows.begin(); row != mRows.end(); ++row) {
     StoreRow& known = row->second;
     if (!known.mRemoved && !snapshotKeys.contains(known.mKey) && known.mVersion <= aVersion) {
-      known = { known.mKey, "", aVersion, true };
-      mNewestVersion = std::max(mNewestVersion, aVersion);
+      replaceRow(known, { known.mKey, "", aVersion, true });
       applied.push_back(known);
     }
   }
+  if (aVersion > mCompleteVersion) {
+    mRemovalsKnownFrom = aVersion;
+  }
+  mCompleteVersion = aVersion;
   return applied;
 }
 
+void TableReplica::setEqualTo(RecordVersion aCompleteVersion, RecordVersion aRemovalsKnownFrom)
+{
+  mCompleteVersion = std::max(mCompleteVersion, aCompleteVersion);
+  mRemovalsKnownFrom = std::max(mRemovalsKnownFrom, aRemovalsKnownFrom);
+}
+
 std::vector<StoreRow> TableReplica::changesSince(RecordVersion aVersion) const
 {
   std::vector<StoreRow> changes;
--- a/bulrushrun/store/TableReplica.h
+++ b/bulrushrun/store/TableReplica.h
@@ -2,6 +2,7 @@
 
 #include "bulrushrun/store/StoreRow.h"
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -12,19 +13,24 @@
 ///
 /// Changes may arrive repeatedly, late and from several sources: a change is applied only if its
 /// version is newer than that of the row. Removed rows are kept as tombstones, so that an older
-/// change does not restore them.
+/// change does not restore them. A read of the table does not tell which rows were removed before
+/// it, so a replica knows all removals only from removalsKnownFrom() on.
 class TableReplica
 {
 public:
   /// \brief Applies changes. A change of an unknown row is ignored if every change up to its
   /// version has been applied, because the row has been removed since.
-  /// \param aCompleteVersion  with these rows, every change up to this version has been received
+  /// \param aCompleteVersion  with these rows, every change up to this version has been received,
+  /// removals included
   /// \returns the changes that were applied, in the order given
   std::vector<StoreRow> apply(const std::vector<StoreRow>& aRows, RecordVersion aCompleteVersion);
   /// \brief Applies the complete table at a version: rows that it lacks are marked as removed,
   /// unless their version is newer.
   /// \returns the changes that were applied
   std::vector<StoreRow> applySnapshot(const std::vector<StoreRow>& aRows, RecordVersion aVersion);
+  /// \brief Records that the rows equal those of another replica at a version.
+  /// \param aRemovalsKnownFrom  version from which the other replica knows all removals
+  void setEqualTo(RecordVersion aCompleteVersion, RecordVersion aRemovalsKnownFrom);
 
   /// \brief \returns the rows with a newer version than this, sorted by version.
   std::vector<StoreRow> changesSince(RecordVersion aVersion) const;
@@ -32,13 +38,22 @@
   RecordVersion completeVersion() const { return mCompleteVersion; }
   /// \brief \returns the newest version of any row.
   RecordVersion newestVersion() const { return mNewestVersion; }
+  /// \brief \returns the version after which every removal is known; changesSince() an older
+  /// version may lack removals.
+  RecordVersion removalsKnownFrom() const { return mRemovalsKnownFrom; }
+  /// \brief \returns a digest of the keys and versions of all rows that are not removed.
+  std::uint64_t digest() const { return mDigest; }
 
 private:
   bool applyRow(const StoreRow& aRow);
+  void replaceRow(StoreRow& aKnown, const StoreRow& aRow);
 
   std::map<std::string, StoreRow> mRows;
   RecordVersion mCompleteVersion;
   RecordVersion mNewestVersion;
+  RecordVersion mRemovalsKnownFrom;
+  /// Sum of the hashes of all rows, so that a change costs O(1).
+  std::uint64_t mDigest = 0;
 };
 
 } // namespace bulrushrun
--- a/standins/InMemoryRowStore.cpp
+++ b/standins/InMemoryRowStore.cpp
@@ -132,7 +132,8 @@
 {
   const std::string table = queryParameter(aQuery, "table");
   const std::string limitText = queryParameter(aQuery, "limit");
-  const std::size_t limit = limitText.empty() ? kDefaultRowLimit : std::stoul(limitText);
+  const std::size_t asked = limitText.empty() ? kDefaultRowLimit : std::stoul(limitText);
+  const std::size_t limit = std::min(asked, mMaxRowsPerRead.value_or(asked));
   Json rows = Json::array();
   bool hasMore = false;
   for (auto row = mRows.lower_bound({ table, queryParameter(aQuery, "from") });
@@ -177,6 +178,17 @@
   return makeJsonResponse(200, { { "rows", rows }, { "ver", mVersion }, { "nowMs", 0 } });
 }
 
+std::map<std::string, std::uint64_t> InMemoryRowStore::versions(const std::string& aTable) const
+{
+  std::map<std::string, std::uint64_t> versions;
+  for (const auto& [key, row] : mRows) {
+    if (key.first == aTable && !row.mRemoved) {
+      versions[key.second] = row.mVersion;
+    }
+  }
+  return versions;
+}
+
 HttpResponse InMemoryRowStore::emptyFeedResponse() const
 {
   return makeJsonResponse(200, { { "rows", Json::array() }, { "ver", mVersion }, { "nowMs", 0 } });
--- a/standins/InMemoryRowStore.h
+++ b/standins/InMemoryRowStore.h
@@ -33,6 +33,11 @@
   /// \brief \returns the response to a feed request whose wait ended without a change.
   HttpResponse emptyFeedResponse() const;
 
+  /// \brief Limits the rows of one response to a read of a range.
+  void setMaxRowsPerRead(std::size_t aRows) { mMaxRowsPerRead = aRows; }
+  /// \brief \returns the versions of the rows of a table by key.
+  std::map<std::string, std::uint64_t> versions(const std::string& aTable) const;
+
   std::uint64_t version() const { return mVersion; }
 
 private:
@@ -53,6 +58,7 @@
   std::map<Key, Row> mRows;
   std::uint64_t mVersion = 0;
   std::uint64_t mCompactedVersion = 0;
+  std::optional<std::size_t> mMaxRowsPerRead;
   std::optional<int> mErrorStatus;
 };
 
