A read of the table keeps the version of its first page while peers tell newer ones

Callers would see: a target or an evacuation that was added while an instance read the table again (after the store dropped its history) is taken for removed.

Cause: TableFeedReader gave the pages to the replica with its own version, which peers advance between two pages. Rows added after the first page, already learned from a peer, are older than that version and missing in the pages, so that they were marked as removed, with a version that other replicas accept.

Change: the version of the first page is kept apart and given to the replica.

--- a/bulrushrun/store/TableFeedReader.h
+++ b/bulrushrun/store/TableFeedReader.h
@@ -131,7 +131,7 @@
     }
     onSuccess();
     mVersion = std::max(mVersion, mSnapshotVersion);
-    mListener.mOnSnapshot(std::exchange(mPendingRows, {}), mVersion);
+    mListener.mOnSnapshot(std::exchange(mPendingRows, {}), mSnapshotVersion);
     requestFeed();
   }
 
