A store's response counts from when the store made it, not from its arrival

A store reader tells its peers how stale it is; a response of the store that was long under way made it look current, and with it all that learn from it. The read of a table in pages counted from its last page.

Change: StoreClock estimates when a response was made from the steady clock that the store states, between request and arrival; the pages of a read count from the first. A store that states no clock counts as before.

--- a/bulrushrun/steering/SteeringInstanceTables.h
+++ b/bulrushrun/steering/SteeringInstanceTables.h
@@ -110,15 +110,16 @@
   const std::size_t index = static_cast<std::size_t>(aTable);
   const std::string name = "table=" + tableText(aTable);
   TableFeedListener listener;
-  listener.mOnSnapshot = [this, aTable, index](const Table& aRows, RecordVersion aVersion) {
-    setCurrent(aTable, mHost.now());
-    mStoreNeeded[index] = false;
-    adoptRows(aTable, "read", aRows, [&](TableReplica& aReplica) {
-      return aReplica.applySnapshot(aRows, aVersion);
-    });
-  };
-  listener.mOnChanges = [this, aTable, index](const Table& aRows) {
-    setCurrent(aTable, mHost.now());
+  listener.mOnSnapshot =
+    [this, aTable, index](const Table& aRows, RecordVersion aVersion, TimePoint aMadeAt) {
+      setCurrent(aTable, aMadeAt);
+      mStoreNeeded[index] = false;
+      adoptRows(aTable, "read", aRows, [&](TableReplica& aReplica) {
+        return aReplica.applySnapshot(aRows, aVersion);
+      });
+    };
+  listener.mOnChanges = [this, aTable, index](const Table& aRows, TimePoint aMadeAt) {
+    setCurrent(aTable, aMadeAt);
     mStoreNeeded[index] = false;
     updateReaderRole();
     adoptRows(aTable, "feed", aRows, [&](TableReplica& aReplica) {
--- a/bulrushrun/steering/tests/FleetSimulation.cpp
+++ b/bulrushrun/steering/tests/FleetSimulation.cpp
@@ -140,6 +140,7 @@
     return;
   }
   ++mStoreCalls;
+  mStore.setNow(mNow.time_since_epoch());
   if (const std::optional<HttpResponse> response = mStore.handle(pending.mRequest)) {
     finish(aExchange, *response);
     return;
@@ -147,6 +148,7 @@
   mPendingFeeds.insert(aExchange.value());
   mTimers.add(mNow + std::chrono::milliseconds(900), [this, aExchange] {
     if (mPendingFeeds.erase(aExchange.value()) > 0) {
+      mStore.setNow(mNow.time_since_epoch());
       // Changes made at this moment must be in the response.
       const HttpRequest& request = mExchanges.at(aExchange.value()).mRequest;
       finish(aExchange, mStore.handle(request).value_or(mStore.emptyFeedResponse()));
@@ -158,6 +160,7 @@
 void FleetSimulation::answerPendingFeeds()
 {
   const std::set<std::uint64_t> waiting = mPendingFeeds;
+  mStore.setNow(mNow.time_since_epoch());
   for (const std::uint64_t number : waiting) {
     const std::optional<HttpResponse> response = mStore.handle(mExchanges.at(number).mRequest);
     if (response) {
--- a/bulrushrun/store/StoreRow.h
+++ b/bulrushrun/store/StoreRow.h
@@ -2,6 +2,7 @@
 
 #include "bulrushrun/core.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,8 @@
   std::vector<StoreRow> mRows;
   /// Newest version of the store at the time of the response.
   RecordVersion mVersion;
+  /// The store's steady clock at the time of the response, if it was stated.
+  std::optional<Duration> mStoreTime;
   /// True when the range has further rows after these.
   bool mHasMore = false;
 };
--- a/bulrushrun/store/TableFeedReader.h
+++ b/bulrushrun/store/TableFeedReader.h
@@ -3,6 +3,7 @@
 #include "bulrushrun/host/EventCatalogue.h"
 #include "bulrushrun/host/Http.h"
 #include "bulrushrun/store/BufferedExchange.h"
+#include "bulrushrun/store/StoreClock.h"
 #include "bulrushrun/store/StoreRow.h"
 
 #include <functional>
@@ -15,10 +16,12 @@
 /// \brief Callbacks of a TableFeedReader.
 struct TableFeedListener
 {
-  /// Receives the complete table at a version, after each read of all its pages.
-  std::function<void(const std::vector<StoreRow>&, RecordVersion)> mOnSnapshot;
-  /// Receives changes in the order of their versions; none when the store reported no changes.
-  std::function<void(const std::vector<StoreRow>&)> mOnChanges;
+  /// Receives the complete table at a version, after each read of all its pages, and the time at
+  /// which the store made the first page.
+  std::function<void(const std::vector<StoreRow>&, RecordVersion, TimePoint)> mOnSnapshot;
+  /// Receives changes in the order of their versions, none when the store reported no changes, and
+  /// the time at which the store made the response.
+  std::function<void(const std::vector<StoreRow>&, TimePoint)> mOnChanges;
   /// Runs when the store became unavailable (false, with the reason) or available again (true).
   std::function<void(bool, const std::string&)> mOnAvailability;
 };
@@ -122,6 +125,7 @@
     if (mPendingRows.empty()) {
       // The version of the first page: changes between the pages are repeated by the feed.
       mSnapshotVersion = aResult.mBatch.mVersion;
+      mSnapshotMadeAt = madeAt(aResult);
     }
     std::vector<StoreRow>& rows = aResult.mBatch.mRows;
     mPendingRows.insert(mPendingRows.end(), rows.begin(), rows.end());
@@ -131,7 +135,7 @@
     }
     onSuccess();
     mVersion = std::max(mVersion, mSnapshotVersion);
-    mListener.mOnSnapshot(std::exchange(mPendingRows, {}), mSnapshotVersion);
+    mListener.mOnSnapshot(std::exchange(mPendingRows, {}), mSnapshotVersion, mSnapshotMadeAt);
     requestFeed();
   }
 
@@ -165,7 +169,7 @@
     }
     onSuccess();
     mVersion = std::max(mVersion, aResult.mBatch.mVersion);
-    mListener.mOnChanges(aResult.mBatch.mRows);
+    mListener.mOnChanges(aResult.mBatch.mRows, madeAt(aResult));
     if (aResult.mBatch.mRows.empty()) {
       requestFeed();
     } else {
@@ -173,6 +177,11 @@
     }
   }
 
+  TimePoint madeAt(const RowReadResult& aResult)
+  {
+    return mStoreClock.madeAt(aResult.mBatch.mStoreTime, mCalledAt, mHost.now());
+  }
+
   void onSuccess()
   {
     mBackoff = kMinBackoff;
@@ -195,6 +204,7 @@
 
   void call(HttpRequest aRequest, Duration aTimeout, std::function<void(RowReadResult)> aDone)
   {
+    mCalledAt = mHost.now();
     startBufferedExchange(mHost,
                           mStore,
                           std::move(aRequest),
@@ -227,6 +237,9 @@
   RecordVersion mVersion;
   /// Version of the read in progress. Peers may advance mVersion meanwhile.
   RecordVersion mSnapshotVersion;
+  TimePoint mSnapshotMadeAt;
+  TimePoint mCalledAt;
+  StoreClock mStoreClock;
   Duration mBackoff = kMinBackoff;
   bool mAvailable = true;
   bool mActive = true;
--- a/standins/InMemoryRowStore.cpp
+++ b/standins/InMemoryRowStore.cpp
@@ -99,8 +99,8 @@
   for (const Json& row : body.value("expect", Json::array())) {
     const Key key{ row.at("table"), row.at("key") };
     if (currentVersion(key) != row.at("ver").get<std::uint64_t>()) {
-      return makeJsonResponse(412,
-                              { { "ver", mVersion }, { "nowMs", 0 }, { "rows", Json::array() } });
+      return makeJsonResponse(
+        412, { { "ver", mVersion }, { "nowMs", toMillis(mNow) }, { "rows", Json::array() } });
     }
   }
   ++mVersion;
@@ -112,7 +112,7 @@
   for (const Json& row : body.value("remove", Json::array())) {
     mRows[{ row.at("table"), row.at("key") }] = { "", mVersion, true };
   }
-  return makeJsonResponse(200, { { "ver", mVersion }, { "nowMs", 0 } });
+  return makeJsonResponse(200, { { "ver", mVersion }, { "nowMs", toMillis(mNow) } });
 }
 
 Json InMemoryRowStore::toJson(const Key& aKey, const Row& aRow) const
@@ -149,7 +149,8 @@
     rows.push_back(toJson(row->first, row->second));
   }
   return makeJsonResponse(
-    200, { { "rows", rows }, { "hasMore", hasMore }, { "ver", mVersion }, { "nowMs", 0 } });
+    200,
+    { { "rows", rows }, { "hasMore", hasMore }, { "ver", mVersion }, { "nowMs", toMillis(mNow) } });
 }
 
 std::optional<HttpResponse> InMemoryRowStore::readFeed(const std::string& aQuery) const
@@ -175,7 +176,8 @@
       rows.push_back(json);
     }
   }
-  return makeJsonResponse(200, { { "rows", rows }, { "ver", mVersion }, { "nowMs", 0 } });
+  return makeJsonResponse(200,
+                          { { "rows", rows }, { "ver", mVersion }, { "nowMs", toMillis(mNow) } });
 }
 
 std::map<std::string, std::uint64_t> InMemoryRowStore::versions(const std::string& aTable) const
@@ -191,7 +193,8 @@
 
 HttpResponse InMemoryRowStore::emptyFeedResponse() const
 {
-  return makeJsonResponse(200, { { "rows", Json::array() }, { "ver", mVersion }, { "nowMs", 0 } });
+  return makeJsonResponse(
+    200, { { "rows", Json::array() }, { "ver", mVersion }, { "nowMs", toMillis(mNow) } });
 }
 
 } // namespace bulrushrun
--- a/standins/InMemoryRowStore.h
+++ b/standins/InMemoryRowStore.h
@@ -33,6 +33,8 @@
   /// \brief \returns the response to a feed request whose wait ended without a change.
   HttpResponse emptyFeedResponse() const;
 
+  /// \brief Sets the clock that responses state.
+  void setNow(Duration aNow) { mNow = aNow; }
   /// \brief Limits the rows of one response to a read of a range.
   void setMaxRowsPerRead(std::size_t aRows) { mMaxRowsPerRead = aRows; }
   /// \brief \returns the versions of the rows of a table by key.
@@ -59,6 +61,7 @@
   std::uint64_t mVersion = 0;
   std::uint64_t mCompactedVersion = 0;
   std::optional<std::size_t> mMaxRowsPerRead;
+  Duration mNow{ 0 };
   std::optional<int> mErrorStatus;
 };
 
--- a/standins/RowStoreServer.cpp
+++ b/standins/RowStoreServer.cpp
@@ -58,6 +58,7 @@
     respond(*aResponder, { { *aFaults.mErrorStatus, {}, std::nullopt }, "{}" });
     return;
   }
+  mStore.setNow(EventLoop::now().time_since_epoch());
   const std::optional<HttpResponse> response = mStore.handle(aRequest);
   if (response) {
     sendResponse(aFaults, *response, aResponder);
@@ -83,6 +84,7 @@
 void RowStoreServer::answerPendingFeeds()
 {
   const TimePoint now = EventLoop::now();
+  mStore.setNow(now.time_since_epoch());
   std::list<PendingFeed> pending = std::exchange(mPendingFeeds, {});
   for (auto feed = pending.begin(); feed != pending.end();) {
     const auto next = std::next(feed);
