Planned stop: take only what can end before the process

Callers saw requests that were taken up to half of the grace after the signal, passed on, and cut without an answer when the process ended; for requests that can't be repeated this is final.

Cause: RequestProxy::accept() looked only at a fixed half of the grace. Neither admission nor a further attempt compared the time that was left with how long the route's work takes, and startAttempt() handed targets the caller's whole remaining time, up to the route's limit of 10 s and more, though the process ends 5.7 s after the signal. So work of 2.9 s taken at 2.8 s, and any work longer than 5.7 s, was cut; a request in a target's queue at that moment was lost without having run.

Change: the state of a draining instance holds when the targets' responses are due (grace less 0.55 s). A request or further attempt is accepted only if its deadline or the upper bound of the route's observed run times (smoothed mean and four mean deviations, queueing included; the route's latency target before the first one) lies before that. Otherwise it is refused at once with 503, Retry-After and Connection: close. Targets get no time limit beyond it: what takes longer than before is ended by the target, which says whether it has run, in time to be forwarded.

Ruled out: shortening the accepting share for all (fast routes lose nothing in it); own deadlines for the proxy (an answer of ours while a target works is no better than a cut).

--- a/bulrushrun/steering/RequestProxy.h
+++ b/bulrushrun/steering/RequestProxy.h
@@ -4,11 +4,13 @@
 #include "bulrushrun/metrics/ServiceMetrics.h"
 #include "bulrushrun/steering/LoadReportMessage.h"
 #include "bulrushrun/steering/ProxiedRequest.h"
+#include "bulrushrun/steering/RunTimeEstimate.h"
 #include "bulrushrun/steering/TargetPicker.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -31,6 +33,8 @@
   TimePoint mSyncedAt;
   /// This instance is draining; connections are closed after each response.
   bool mDraining = false;
+  /// While draining: when the targets' responses are due, so that they can still be forwarded.
+  std::optional<TimePoint> mResponsesDue;
   /// Too little of the shutdown grace period is left for new requests.
   bool mRejectingRequests = false;
 };
@@ -123,11 +127,16 @@
   static constexpr int kUnresponsiveLatencyFactor = 4;
   static constexpr int kUnresponsiveTargetFactor = 2;
   static constexpr Duration kMinUnresponsiveAfter = std::chrono::milliseconds(800);
+  static constexpr const char* kShuttingDownText =
+    "this instance is shutting down; use another one";
   /// Time that must remain for a retry, as a fraction of the smoothed latency.
   static constexpr double kMinRetryTimeShare = 0.5;
 
   // Admission.
   void refuseBeforeAdmission(ResponderType& aResponder, int aStatus, const std::string& aText);
+  bool canEndBeforeExit(const Route& aRoute, TimePoint aDeadline) const;
+  TimePoint responseDue(const Request& aRequest) const;
+  void recordRunTime(const Request& aRequest, Duration aElapsed);
   bool exceedsLimits(const HttpRequest& aRequest, ResponderType& aResponder);
   void setCallerCallbacks(Request& aRequest);
   void onCallerDisconnected(RequestId aId);
@@ -176,6 +185,8 @@
   std::unordered_map<std::uint64_t, std::unique_ptr<Request>> mRequests;
   std::map<ServiceName, RetryBudgetShare> mRetryBudgets;
   std::map<ServiceName, Duration> mLatencies;
+  /// By route.
+  std::map<std::string, RunTimeEstimate> mRunTimes;
   std::map<std::string, WeightedRoundRobin> mServiceSplits;
   std::function<void(const TargetId&, const ResponseMetadata&)> mOnTargetUpdate;
   std::function<void(const Placement&)> mOnPlaced;
--- a/bulrushrun/steering/RequestProxyActions.h
+++ b/bulrushrun/steering/RequestProxyActions.h
@@ -128,7 +128,9 @@
   const TimePoint now = mHost.now();
   const double latency = static_cast<double>(smoothedLatency(aRequest.mService).count());
   const Duration minRemaining{ static_cast<std::int64_t>(kMinRetryTimeShare * latency) };
-  if (aRequest.mDeadline - now <= minRemaining || aRequest.mConnectFailures > kMaxConnectFailures) {
+  if (responseDue(aRequest) - now <= minRemaining ||
+      aRequest.mConnectFailures > kMaxConnectFailures ||
+      !canEndBeforeExit(*aRequest.mRoute, aRequest.mDeadline)) {
     return false;
   }
   if (aRequest.mAttempts == 0) {
--- a/bulrushrun/steering/RequestProxyAdmission.h
+++ b/bulrushrun/steering/RequestProxyAdmission.h
@@ -46,6 +46,34 @@
   return false;
 }
 
+/// \returns false when this instance drains and the process is expected to end before the response.
+template<class HostType, class Codec>
+bool RequestProxy<HostType, Codec>::canEndBeforeExit(const Route& aRoute, TimePoint aDeadline) const
+{
+  const std::optional<TimePoint>& due = mSteeringState.mResponsesDue;
+  if (!due || aDeadline <= *due) {
+    return true;
+  }
+  const auto found = mRunTimes.find(aRoute.mName);
+  const std::optional<Duration> observed =
+    found == mRunTimes.end() ? std::nullopt : found->second.upperBound();
+  return mHost.now() + observed.value_or(aRoute.mLatencyTarget) <= *due;
+}
+
+/// \returns when the target must respond at the latest. A target that ends a request itself says
+/// whether it has run, which an exchange that ends with the process leaves open.
+template<class HostType, class Codec>
+TimePoint RequestProxy<HostType, Codec>::responseDue(const Request& aRequest) const
+{
+  return std::min(aRequest.mDeadline, mSteeringState.mResponsesDue.value_or(aRequest.mDeadline));
+}
+
+template<class HostType, class Codec>
+void RequestProxy<HostType, Codec>::recordRunTime(const Request& aRequest, Duration aElapsed)
+{
+  mRunTimes[aRequest.mRoute->mName].add(aElapsed);
+}
+
 template<class HostType, class Codec>
 void RequestProxy<HostType, Codec>::accept(HttpRequest aRequest,
                                            ResponderPtr aResponder,
@@ -57,7 +85,7 @@
     return;
   }
   if (mSteeringState.mRejectingRequests) {
-    refuseBeforeAdmission(*aResponder, 503, "this instance is shutting down; use another one");
+    refuseBeforeAdmission(*aResponder, 503, kShuttingDownText);
     return;
   }
   if (exceedsLimits(aRequest, *aResponder)) {
@@ -74,22 +102,27 @@
     return;
   }
   const TimePoint now = mHost.now();
+  const RequestMetadata metadata = Codec::parseRequestMetadata(aRequest);
+  const TimePoint deadline =
+    aArrived + std::min(metadata.mCallerTimeout.value_or(kDefaultTimeout), route->mTimeout);
+  if (!canEndBeforeExit(*route, deadline)) {
+    refuseBeforeAdmission(*aResponder, 503, kShuttingDownText);
+    return;
+  }
   mLastId = mLastId.next();
   const RetryPolicy policy =
     route->mIdempotent ? RetryPolicy::Unrestricted : RetryPolicy::AtMostOnceUnclaimed;
   std::unique_ptr<Request> owned = std::make_unique<Request>(mLastId, policy);
   Request& request = *owned;
   mRequests.emplace(mLastId.value(), std::move(owned));
-  request.mMetadata = Codec::parseRequestMetadata(aRequest);
+  request.mMetadata = metadata;
   request.mRequest = std::move(aRequest);
   request.mResponder = std::move(aResponder);
   request.mPlan = mSteeringState.mPlan;
   request.mRoute = route;
   request.mService = mServiceSplits[route->mName].next(route->mServices);
   request.mArrived = aArrived;
-  request.mDeadline =
-    aArrived +
-    std::min(request.mMetadata.mCallerTimeout.value_or(kDefaultTimeout), route->mTimeout);
+  request.mDeadline = deadline;
   setCallerCallbacks(request);
   const RequestId id = request.mId;
   request.mDeadlineTimer = mHost.after(request.mDeadline - now, [this, id] { onDeadline(id); });
--- a/bulrushrun/steering/RequestProxyExchange.h
+++ b/bulrushrun/steering/RequestProxyExchange.h
@@ -41,7 +41,7 @@
   HttpRequest request = aRequest.mRequest;
   request.mHeaders = endToEndHeaders(request.mHeaders);
   Codec::setForwardingHeaders(
-    request, std::max(aRequest.mDeadline - now, Duration{ 1000 }), target.mId);
+    request, std::max(responseDue(aRequest) - now, Duration{ 1000 }), target.mId);
   if (aRequest.mRoute->mIdempotent) {
     const RequestId id = aRequest.mId;
     const int attemptNumber = ++aRequest.mStartedAttempts;
@@ -236,6 +236,7 @@
   const bool failed = status >= 500;
   recordAttemptResult(aRequest, failed ? AttemptResult::FailedAnswer : AttemptResult::Answered);
   if (!failed) {
+    recordRunTime(aRequest, elapsed);
     Duration& latency = mLatencies[aRequest.mService];
     constexpr int kSmoothing = 16;
     latency = latency == Duration{ 0 } ? elapsed : latency + (elapsed - latency) / kSmoothing;
--- a/bulrushrun/steering/SteeringInstance.h
+++ b/bulrushrun/steering/SteeringInstance.h
@@ -93,6 +93,9 @@
   static constexpr Duration kLookupTimeToLive = std::chrono::seconds(2);
   /// Part of the grace period that is left for the process to exit.
   static constexpr Duration kExitMargin = std::chrono::milliseconds(300);
+  /// Part of the grace period, before that, that is left for forwarding the targets' last
+  /// responses.
+  static constexpr Duration kForwardingMargin = std::chrono::milliseconds(250);
   /// Fraction of the grace period after which no more requests are accepted; the rest is for those
   /// in progress.
   static constexpr double kAcceptingShare = 0.5;
--- a/bulrushrun/steering/SteeringInstanceService.h
+++ b/bulrushrun/steering/SteeringInstanceService.h
@@ -30,6 +30,8 @@
 void SteeringInstance<HostType, Adapter>::beginDrain()
 {
   mSteeringState.mDraining = true;
+  mSteeringState.mResponsesDue =
+    mHost.now() + mSettings.mBounds.mGrace - kExitMargin - kForwardingMargin;
   if (mGossip) {
     mGossip->leave();
   }
--- a/bulrushrun/steering/tests/FleetSimulation.cpp
+++ b/bulrushrun/steering/tests/FleetSimulation.cpp
@@ -80,8 +80,8 @@
   settings.mBounds.mRetryRatio = 0.2;
   settings.mBounds.mRetrySlack = 100;
   simulatedNode.mHost = std::make_unique<SimulatedHost>(*this, settings.mListen, address);
-  simulatedNode.mNode =
-    std::make_unique<SimulatedInstance>(*simulatedNode.mHost, settings, [](std::size_t) {});
+  simulatedNode.mNode = std::make_unique<SimulatedInstance>(
+    *simulatedNode.mHost, settings, [this, aName](std::size_t) { mExitedAt[aName] = mNow; });
   return *simulatedNode.mNode;
 }
 
--- a/bulrushrun/steering/tests/FleetSimulation.h
+++ b/bulrushrun/steering/tests/FleetSimulation.h
@@ -108,6 +108,7 @@
   SimulatedHost& host(const std::string& aName) { return *mNodes.at(aName).mHost; }
   /// \brief Makes an instance fail without notice.
   void kill(const std::string& aName);
+  TimePoint now() const { return mNow; }
   /// \brief Advances the virtual clock and runs the timers that are due.
   void run(Duration aDuration);
   /// \brief Registers a target in the store.
@@ -146,6 +147,8 @@
   std::size_t mPeerMessages = 0;
   /// Requests that reached the store.
   std::size_t mStoreCalls = 0;
+  /// Instances whose planned stop has ended, and when.
+  std::map<std::string, TimePoint> mExitedAt;
 
 private:
   friend class SimulatedHost;
