Planned stop: answer at the limit instead of closing connections

Callers whose target stayed silent through a planned stop, or still worked on a request from before the signal, saw their connection closed without an answer and had to guess.

Cause: at its limit DrainSequence::check() counted the requests in progress and ended the process; the sockets closed with it.

Change: at the limit the proxy ends what is in progress: 502 "may have run" where a target has the request, 503 where none has it. The number of requests still counts as cut in the log and in the exit code.

Limits: an answer whose head has gone out can only be broken off.

Tests failed before: PlannedStopSurpriseTest.SilentTargetIsReportedToTheCallerBeforeTheProcessEnds call.mResponder->mComplete Which is: (nullopt), expected true PlannedStopTest.EveryRequestIsAnsweredBeforeTheProcessEnds (work of 8 s, sent before the signal): the same line

--- a/bulrushrun/steering/RequestProxy.h
+++ b/bulrushrun/steering/RequestProxy.h
@@ -78,6 +78,9 @@
   void accept(HttpRequest aRequest, ResponderPtr aResponder, TimePoint aArrived);
   /// \brief Ends requests whose callers disconnected, and drops the statistics of unknown targets.
   void sweep();
+  /// \brief Ends all requests in progress: a caller learns that its request may have run, or that
+  /// it has not.
+  void endAll();
   /// \brief \returns the number of requests in progress.
   std::size_t requestsInProgress() const { return mRequests.size(); }
   const RequestProxyCounters& counters() const { return mCounters; }
@@ -163,7 +166,7 @@
   bool onBody(RequestId aId, std::string_view aBytes);
   void onEnd(RequestId aId, ExchangeResult aEnd, const std::string& aReason);
   void onComplete(Request& aRequest);
-  void onDeadline(RequestId aId);
+  void endUnanswered(RequestId aId, const char* aReason);
   void onResponseTimeout(RequestId aId, int aAttemptNumber);
   void recordAttemptResult(const Request& aRequest, AttemptResult aResult);
   void logFailedAttempt(const Request& aRequest, Duration aElapsed);
--- a/bulrushrun/steering/RequestProxyAdmission.h
+++ b/bulrushrun/steering/RequestProxyAdmission.h
@@ -125,7 +125,8 @@
   request.mDeadline = deadline;
   setCallerCallbacks(request);
   const RequestId id = request.mId;
-  request.mDeadlineTimer = mHost.after(request.mDeadline - now, [this, id] { onDeadline(id); });
+  request.mDeadlineTimer =
+    mHost.after(request.mDeadline - now, [this, id] { endUnanswered(id, "the deadline passed"); });
   mRetryBudgets[request.mService].onFirstAttempt(now);
   apply(id, RequestEvent::Admitted);
 }
@@ -171,6 +172,18 @@
   mPicker.forgetUnknown(mSteeringState.mTargets);
 }
 
+template<class HostType, class Codec>
+void RequestProxy<HostType, Codec>::endAll()
+{
+  std::vector<RequestId> all;
+  for (const auto& [number, request] : mRequests) {
+    all.push_back(request->mId);
+  }
+  for (const RequestId id : all) {
+    endUnanswered(id, "this instance ends");
+  }
+}
+
 template<class HostType, class Codec>
 typename RequestProxy<HostType, Codec>::Request* RequestProxy<HostType, Codec>::find(RequestId aId)
 {
--- a/bulrushrun/steering/RequestProxyExchange.h
+++ b/bulrushrun/steering/RequestProxyExchange.h
@@ -282,14 +282,14 @@
 }
 
 template<class HostType, class Codec>
-void RequestProxy<HostType, Codec>::onDeadline(RequestId aId)
+void RequestProxy<HostType, Codec>::endUnanswered(RequestId aId, const char* aReason)
 {
   Request* request = find(aId);
   if (request == nullptr) {
     return;
   }
   abandonAttempt(*request);
-  request->mReason = "the deadline passed";
+  request->mReason = aReason;
   apply(aId, RequestEvent::DeadlinePassed);
 }
 
--- a/bulrushrun/steering/SteeringInstanceService.h
+++ b/bulrushrun/steering/SteeringInstanceService.h
@@ -17,7 +17,8 @@
              const std::size_t open = mOpenResponseCount ? mOpenResponseCount() : 0;
              return std::max(mProxy.requestsInProgress(), open);
            },
-           std::move(aOnExit) };
+           std::move(aOnExit),
+           [this] { mProxy.endAll(); } };
 }
 
 template<class HostType, class Adapter>
--- a/bulrushrun/steering/tests/PlannedStopTest.cpp
+++ b/bulrushrun/steering/tests/PlannedStopTest.cpp
@@ -30,6 +30,16 @@
   }
 };
 
+/// Guards against a request that was passed on and is cut without an answer when the grace ends.
+TEST_P(PlannedStopTest, EveryRequestIsAnsweredBeforeTheProcessEnds)
+{
+  playStop();
+  EXPECT_LT(exitedAt(), mStoppedAt + kGrace);
+  for (const auto& [id, call] : mCalls) {
+    EXPECT_EQ(call.mResponder->mComplete, true) << id;
+  }
+}
+
 /// Guards against requests that are taken during the stop though they can't end before it.
 TEST_P(PlannedStopTest, RequestsTakenAfterTheSignalGetTheAnswerOfTheirTarget)
 {
@@ -95,6 +105,21 @@
   EXPECT_TRUE(call.hasTargetsAnswer());
 }
 
+/// Guards against a closed connection in place of an answer when a target stays silent.
+TEST_F(PlannedStopSurpriseTest, SilentTargetIsReportedToTheCallerBeforeTheProcessEnds)
+{
+  start("non_idempotent", std::chrono::milliseconds(200));
+  warmUp();
+  mSilent = true;
+  stop();
+  const Call& call = send("unanswered");
+  run(kGrace);
+  ASSERT_TRUE(call.mPassedOn);
+  EXPECT_EQ(call.mResponder->mComplete, true);
+  EXPECT_EQ(call.mResponder->mHead.mStatus, 502) << "it may have run";
+  EXPECT_LT(exitedAt(), mStoppedAt + kGrace);
+}
+
 /// Guards against another attempt that can't end before the process does.
 TEST_F(PlannedStopSurpriseTest, DeclinedRequestIsRefusedWhenTooLittleTimeIsLeft)
 {
