Planned stop: the limit follows a grace that a reload changed

After a reload that shortened the grace, a planned stop was ended by the kill: callers saw open requests cut, and nothing was logged.

Cause: DrainSequence took its limit when the instance was built, while the accepting period read the bounds in force.

Change: the drain asks for its limit when it begins.

Test failed before: PlannedStopSurpriseTest.GraceThatAReloadShortenedHoldsForTheNextStop Expected: (exitedAt()) < (mStoppedAt + bounds.mGrace)

--- a/bulrushrun/drain/DrainSequence.h
+++ b/bulrushrun/drain/DrainSequence.h
@@ -13,6 +13,8 @@
 /// \brief Functions of the instance that a drain calls.
 struct DrainCallbacks
 {
+  /// \returns the longest duration of a drain that starts now.
+  std::function<Duration()> mLimit;
   /// Removes the instance from lookup responses and hands its owned targets over.
   std::function<void()> mWithdraw;
   /// \returns how long callers may still use lookup responses received earlier.
@@ -34,9 +36,8 @@
 class DrainSequence
 {
 public:
-  DrainSequence(HostType& aHost, Duration aLimit, DrainCallbacks aCallbacks)
+  DrainSequence(HostType& aHost, DrainCallbacks aCallbacks)
     : mHost(aHost)
-    , mLimit(aLimit)
     , mCallbacks(std::move(aCallbacks))
   {
   }
@@ -50,6 +51,7 @@
     }
     mDraining = true;
     mStartTime = mHost.now();
+    mLimit = mCallbacks.mLimit();
     mCachesExpireAt = mStartTime + mCallbacks.mLookupCacheTtl() + kPropagationTime;
     mHost.log(events::kDrainStarted, "in_progress=" + std::to_string(mCallbacks.mInProgress()));
     mCallbacks.mWithdraw();
@@ -103,8 +105,8 @@
   }
 
   HostType& mHost;
-  Duration mLimit;
   DrainCallbacks mCallbacks;
+  Duration mLimit{ 0 };
   bool mDraining = false;
   TimePoint mStartTime;
   TimePoint mCachesExpireAt;
--- a/bulrushrun/instance/InstanceWiring.h
+++ b/bulrushrun/instance/InstanceWiring.h
@@ -38,7 +38,7 @@
       aHost,
       [this] { return ownedTargets(false); },
       [this](const TargetId& aTarget, bool aLeaving) { onHealthCheck(aTarget, aLeaving); })
-  , mDrain(aHost, aSettings.mDrainLimit, drainCallbacks(std::move(aOnExit)))
+  , mDrain(aHost, drainCallbacks(std::move(aOnExit)))
   , mAdmin(aHost, { aSettings.mViewerToken, aSettings.mOperatorToken }, adminCallbacks())
 {
 }
@@ -57,7 +57,8 @@
 template<class HostType>
 DrainCallbacks Instance<HostType>::drainCallbacks(std::function<void(std::size_t)> aOnExit)
 {
-  return { [this] { mGossip.leave(); },
+  return { [this] { return mSettings.mDrainLimit; },
+           [this] { mGossip.leave(); },
            [this] {
              const std::shared_ptr<const Document>& document = mConfiguration.active().mDocument;
              return document ? document->mDefaults.mLookupTimeToLive : Duration{ 0 };
--- a/bulrushrun/steering/SteeringInstanceService.h
+++ b/bulrushrun/steering/SteeringInstanceService.h
@@ -11,7 +11,8 @@
 DrainCallbacks SteeringInstance<HostType, Adapter>::drainCallbacks(
   std::function<void(std::size_t)> aOnExit)
 {
-  return { [this] { beginDrain(); },
+  return { [this] { return mSettings.mBounds.mGrace - kExitMargin; },
+           [this] { beginDrain(); },
            [this] { return acceptingPeriod(); },
            [this] {
              const std::size_t open = mOpenResponseCount ? mOpenResponseCount() : 0;
--- a/bulrushrun/steering/SteeringInstanceTables.h
+++ b/bulrushrun/steering/SteeringInstanceTables.h
@@ -64,7 +64,7 @@
   , mLoadReports(aHost,
                  mSteeringState.mContext.mZones,
                  [this](const TargetLoad& aLoad) { mProxy.onPeerLoad(aLoad); })
-  , mDrain(aHost, aSettings.mBounds.mGrace - kExitMargin, drainCallbacks(std::move(aOnExit)))
+  , mDrain(aHost, drainCallbacks(std::move(aOnExit)))
 {
   mSteeringState.mContext.mZones = ZoneTopology{ mSettings.mZone, mSettings.mRegions };
   setBounds(mSettings.mBounds);
--- a/bulrushrun/steering/tests/PlannedStopTest.cpp
+++ b/bulrushrun/steering/tests/PlannedStopTest.cpp
@@ -120,6 +120,23 @@
   EXPECT_LT(exitedAt(), mStoppedAt + kGrace);
 }
 
+/// Guards against an exit by the old grace, after the kill, when a reload has shortened it.
+TEST_F(PlannedStopSurpriseTest, GraceThatAReloadShortenedHoldsForTheNextStop)
+{
+  start("non_idempotent", std::chrono::milliseconds(200));
+  warmUp();
+  mSilent = true;
+  FleetBounds bounds;
+  bounds.mGrace = std::chrono::seconds(4);
+  mSimulation.node("n1").setBounds(bounds);
+  stop();
+  const Call& call = send("unanswered");
+  run(kGrace);
+  ASSERT_TRUE(hasExited());
+  EXPECT_LT(exitedAt(), mStoppedAt + bounds.mGrace);
+  EXPECT_EQ(call.mResponder->mComplete, true);
+}
+
 /// Guards against another attempt that can't end before the process does.
 TEST_F(PlannedStopSurpriseTest, DeclinedRequestIsRefusedWhenTooLittleTimeIsLeft)
 {
