--- a/bulrushrun/steering/RequestProxyExchange.h
+++ b/bulrushrun/steering/RequestProxyExchange.h
@@ -42,7 +42,7 @@
   HttpRequest request = aRequest.mRequest;
   request.mHeaders = endToEndHeaders(request.mHeaders);
   Codec::setForwardingHeaders(
-    request, std::max(aRequest.mDeadline - now, Duration{ 1000 }), target.mId);
+    request, std::max(responseDue(aRequest) - now, Duration{ 1000 }), target.mId);
   if (aRequest.mRoute->mIdempotent) {
     const RequestId id = aRequest.mId;
     const int attemptNumber = ++aRequest.mStartedAttempts;
@@ -237,6 +237,7 @@
   const bool failed = status >= 500;
   recordAttemptResult(aRequest, failed ? AttemptResult::FailedAnswer : AttemptResult::Answered);
   if (!failed) {
+    recordRunTime(aRequest, elapsed);
     Duration& latency = mLatencies[aRequest.mService];
     constexpr int kSmoothing = 16;
     latency = latency == Duration{ 0 } ? elapsed : latency + (elapsed - latency) / kSmoothing;
@@ -282,14 +283,14 @@
 }
 
 template<class HostType, class Codec>
-void RequestProxy<HostType, Codec>::onDeadline(RequestId aId)
+void RequestProxy<HostType, Codec>::endUnanswered(RequestId aId, const char* aReason)
 {
   Request* request = find(aId);
   if (request == nullptr) {
     return;
   }
   abandonAttempt(*request);
-  request->mReason = "the deadline passed";
+  request->mReason = aReason;
   apply(aId, RequestEvent::DeadlinePassed);
 }
 
--- a/bulrushrun/steering/SteeringInstanceService.h
+++ b/bulrushrun/steering/SteeringInstanceService.h
@@ -11,13 +11,15 @@
 DrainCallbacks SteeringInstance<HostType, Adapter>::drainCallbacks(
   std::function<void(std::size_t)> aOnExit)
 {
-  return { [this] { beginDrain(); },
+  return { [this] { return mSettings.mBounds.mGrace - kExitMargin; },
+           [this] { beginDrain(); },
            [this] { return acceptingPeriod(); },
            [this] {
              const std::size_t open = mOpenResponseCount ? mOpenResponseCount() : 0;
              return std::max(mProxy.requestsInProgress(), open);
            },
-           std::move(aOnExit) };
+           std::move(aOnExit),
+           [this] { mProxy.endAll(); } };
 }
 
 template<class HostType, class Adapter>
@@ -30,6 +32,8 @@
 void SteeringInstance<HostType, Adapter>::beginDrain()
 {
   mSteeringState.mDraining = true;
+  mSteeringState.mResponsesDue =
+    mHost.now() + mSettings.mBounds.mGrace - kExitMargin - kForwardingMargin;
   if (mGossip) {
     mGossip->leave();
   }
