A kept connection is looked at before a request is written to it

Cause: HttpClient::takeIdle gave out a kept connection without looking whether bytes, or its end, had arrived on it. The loop reports them only after the request was written, so HttpConnection::onRead parsed them as its response. Evidence: IdleConnectionTest.PendingBytesAreNotTheResponseToTheNextRequest before: 'second->mBody Which is: "stray"'; PendingEndOfTheConnectionDoesNotCostARequest before: Interrupted instead of Complete. Change: HttpConnection::isQuiet peeks at the socket; a connection with bytes or an end is closed and the next one taken. It holds for calls to the store and to peers too, whose responses carry no id. ConnectionUse::New asks for a new connection. Cost: one recv a request on a kept connection. Ruled out: an extra response in the same segment, or later on the idle connection, closed the connection before, too (the first two tests passed before, as did the two on cut refusals and on refusals before the whole body was sent).

--- a/bulrushrun/host/Http.h
+++ b/bulrushrun/host/Http.h
@@ -100,6 +100,8 @@
   Pooled,
   /// Only a new connection, or one that was verified recently.
   RecentlyVerified,
+  /// Only a new connection.
+  New,
 };
 
 } // namespace bulrushrun
--- a/bulrushrun/net/EventLoopHost.h
+++ b/bulrushrun/net/EventLoopHost.h
@@ -26,6 +26,9 @@
     , mPeers(aLoop, aPeer, std::move(aReceiver))
     , mRandom((std::uint64_t{ std::random_device{}() } << 32U) | std::random_device{}())
   {
+    mClient.setOnStrayBytes([](const Endpoint& aEndpoint) {
+      logEvent(events::kAnswerCrossed, "address=" + aEndpoint.text() + " reason=\"no request\"");
+    });
   }
 
   TimePoint now() const { return EventLoop::now(); }
--- a/bulrushrun/net/HttpClient.cpp
+++ b/bulrushrun/net/HttpClient.cpp
@@ -23,6 +23,9 @@
 
 HttpConnection* HttpClient::takeIdle(const Endpoint& aEndpoint, ConnectionUse aUse)
 {
+  if (aUse == ConnectionUse::New) {
+    return nullptr;
+  }
   const auto found = mIdle.find(aEndpoint);
   while (found != mIdle.end() && !found->second.empty()) {
     HttpConnection* newest = found->second.back();
@@ -32,8 +35,10 @@
       if (aUse == ConnectionUse::RecentlyVerified && idle >= kRecentlyVerifiedSpan) {
         return nullptr;
       }
-      found->second.pop_back();
-      return newest;
+      if (newest->isQuiet()) {
+        found->second.pop_back();
+        return newest;
+      }
     }
     discard(*newest);
   }
@@ -69,6 +74,9 @@
   if (found == mConnections.end()) {
     return;
   }
+  if (aConnection.hasStrayBytes() && mOnStrayBytes) {
+    mOnStrayBytes(aConnection.endpoint());
+  }
   if (mDiscarded.empty()) {
     mLoop.after(Duration{ 0 }, [this] { mDiscarded.clear(); });
   }
--- a/bulrushrun/net/HttpClient.h
+++ b/bulrushrun/net/HttpClient.h
@@ -5,10 +5,12 @@
 #include "bulrushrun/net/EventLoop.h"
 #include "bulrushrun/net/HttpConnection.h"
 
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace bulrushrun {
@@ -24,6 +26,12 @@
   {
   }
 
+  /// \brief Sets the callback for endpoints that sent bytes which belong to no request. The bytes
+  /// are discarded and the connection is closed.
+  void setOnStrayBytes(std::function<void(const Endpoint&)> aOnStrayBytes)
+  {
+    mOnStrayBytes = std::move(aOnStrayBytes);
+  }
   /// \brief Sends one request. \sa Host
   ExchangeId start(const Endpoint& aEndpoint,
                    const HttpRequest& aRequest,
@@ -48,6 +56,7 @@
   IdleTimeouts mIdleTimeouts;
   std::unordered_map<std::uint64_t, HttpConnection*> mExchanges;
   Connections mDiscarded;
+  std::function<void(const Endpoint&)> mOnStrayBytes;
   ExchangeId mLastExchange;
 };
 
--- a/bulrushrun/net/HttpConnection.cpp
+++ b/bulrushrun/net/HttpConnection.cpp
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <cerrno>
 #include <utility>
 
 namespace bulrushrun {
@@ -141,6 +142,15 @@
   closeSocket();
 }
 
+bool HttpConnection::isQuiet()
+{
+  char byte = 0;
+  const ssize_t size =
+    ::recv(h2o_socket_get_fd(mSocket), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  mHasStrayBytes = mHasStrayBytes || size > 0;
+  return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 void HttpConnection::resume()
 {
   if (!mPaused || mSocket == nullptr) {
@@ -208,6 +218,7 @@
     return;
   }
   if (!connection->mExchangeInProgress || !connection->mRequestSent) {
+    connection->mHasStrayBytes = true;
     connection->fail(connection->mRequestSent ? ExchangeResult::Interrupted
                                               : ExchangeResult::NotSent,
                      "received bytes without a request in progress");
@@ -253,7 +264,8 @@
 
 void HttpConnection::finishExchange()
 {
-  const bool reusable = http_should_keep_alive(&mParser) != 0 && mSocket->input->size == 0 &&
+  mHasStrayBytes = mSocket->input->size > 0;
+  const bool reusable = http_should_keep_alive(&mParser) != 0 && !mHasStrayBytes &&
                         !mWriteInProgress && !mSkippedResponse;
   const ExchangeListener listener = std::exchange(mListener, {});
   mExchangeInProgress = false;
--- a/bulrushrun/net/HttpConnection.h
+++ b/bulrushrun/net/HttpConnection.h
@@ -41,6 +41,9 @@
   void abort();
   /// \brief Resumes reading after the listener paused it.
   void resume();
+  /// \brief \returns false when something has arrived on the idle connection: bytes that belong to
+  /// no request, or its end.
+  bool isQuiet();
 
   /// \brief \returns false when connecting could not be started, or when the connection is closed.
   bool isOpen() const { return mSocket != nullptr; }
@@ -52,6 +55,8 @@
   /// \brief \returns the idle time before the last exchange, when the connection failed without a
   /// byte of a response: it was stale, that is, the peer had already dropped it.
   std::optional<Duration> staleAfter() const { return mStaleAfter; }
+  /// \brief \returns true when bytes arrived that belong to no request.
+  bool hasStrayBytes() const { return mHasStrayBytes; }
 
 private:
   static void onConnect(h2o_socket_t* aSocket, const char* aError);
@@ -95,6 +100,7 @@
   bool mResponseComplete = false;
   bool mSkippingBody = false;
   bool mSkippedResponse = false;
+  bool mHasStrayBytes = false;
   Duration mIdleTimeout;
   /// Idle time before the exchange in progress; empty for the first exchange, and once bytes of
   /// the response have arrived.
