Skipped responses are bounded, and only those whose end is known

A request waited for its deadline, and the instance read without limit, when a server wrote responses to other requests. Cause: HttpConnectionParsing.cpp skipped any number and length of responses to other requests and of interim responses; one without a length swallowed the own response; one that repeats a response to HEAD has no body, so that the bytes of the own response were taken for it; after 101 the parser stops and the rest was never read. Evidence: SkippedResponseTest, before: StrayResponseWithoutALength..., StrayResponseAfterAHeadRequest..., NumberOfSkippedResponsesIsBounded and ProtocolSwitch...: 'hasEnded(*second) Actual: false' after 5 s; BytesOfSkippedResponsesAreBounded: 'second->mResult.has_value() Actual: false'. Change: at most 8 heads and 1 MiB of bodies are skipped in one exchange; a stray response without an end of its own or on a connection that carried HEAD, and 101, end the exchange as interrupted. Ruled out: after a skipped response (length, empty, chunked, 204, interim) the own one was framed right before, too, with a length, chunked or ended by the connection, in one piece and byte by byte; the connection was closed after it.

--- a/bulrushrun/net/HttpConnection.cpp
+++ b/bulrushrun/net/HttpConnection.cpp
@@ -120,6 +120,9 @@
   mResponseComplete = false;
   mSkippingBody = false;
   mSkippedResponse = false;
+  mSkippedHeads = 0;
+  mSkippedBytes = 0;
+  mCarriedHeadRequest = mCarriedHeadRequest || mHeadRequest;
   mHead = {};
   http_parser_init(&mParser, HTTP_RESPONSE);
   mParser.data = this;
@@ -258,7 +261,8 @@
   if (mResponseComplete) {
     finishExchange();
   } else if (error != HPE_OK && error != HPE_PAUSED) {
-    fail(ExchangeResult::Interrupted, "malformed HTTP response");
+    fail(ExchangeResult::Interrupted,
+         mParsingFailure == nullptr ? "malformed HTTP response" : mParsingFailure);
   }
 }
 
--- a/bulrushrun/net/HttpConnection.h
+++ b/bulrushrun/net/HttpConnection.h
@@ -18,7 +18,7 @@
 ///
 /// A response whose end can't be verified (neither Content-Length nor chunked) counts as
 /// interrupted, unless the listener accepts a body that ends when the connection closes. Responses
-/// to other requests are skipped.
+/// to other requests are skipped, up to a limit; after one, the connection is not used again.
 class HttpConnection
 {
 public:
@@ -74,6 +74,10 @@
   void send();
   void parse();
   int onHeadComplete();
+  int onInterimHead();
+  int skipResponse(bool aHasEnd);
+  bool countSkipped();
+  int failParsing(const char* aReason);
   void finishExchange();
   void fail(ExchangeResult aEnd, const std::string& aReason);
   void closeSocket();
@@ -100,7 +104,13 @@
   bool mResponseComplete = false;
   bool mSkippingBody = false;
   bool mSkippedResponse = false;
+  /// Interim responses and responses to other requests during this exchange.
+  int mSkippedHeads = 0;
+  std::size_t mSkippedBytes = 0;
+  /// The connection carried a HEAD request, so a late response to it may have no body.
+  bool mCarriedHeadRequest = false;
   bool mHasStrayBytes = false;
+  const char* mParsingFailure = nullptr;
   Duration mIdleTimeout;
   /// Idle time before the exchange in progress; empty for the first exchange, and once bytes of
   /// the response have arrived.
--- a/bulrushrun/net/HttpConnectionParsing.cpp
+++ b/bulrushrun/net/HttpConnectionParsing.cpp
@@ -17,6 +17,14 @@
 constexpr Duration kDefaultIdleTimeout = std::chrono::milliseconds(400);
 constexpr Duration kIdleTimeoutMargin = std::chrono::milliseconds(500);
 constexpr std::int64_t kMaxIdleTimeoutSeconds = 60;
+/// Return values of the callbacks.
+constexpr int kContinue = 0;
+constexpr int kSkipBody = 1;
+constexpr int kFail = -1;
+/// Limits per exchange, so that a faulty server can't occupy it until its deadline.
+constexpr int kMaxSkippedHeads = 8;
+constexpr std::size_t kMaxSkippedBytes = std::size_t{ 1024 } * 1024;
+constexpr unsigned kSwitchingProtocols = 101;
 
 bool isStatusWithoutBody(unsigned aStatus)
 {
@@ -67,12 +75,9 @@
 
 int HttpConnection::onHeadComplete()
 {
-  constexpr int kContinue = 0;
-  constexpr int kSkipBody = 1;
-  constexpr int kFail = -1;
   mReadingHeaderValue = false;
   if (mParser.status_code < 200) {
-    return kContinue;
+    return onInterimHead();
   }
   const bool chunked = (mParser.flags & F_CHUNKED) != 0;
   const bool hasLength = mParser.content_length != std::numeric_limits<std::uint64_t>::max();
@@ -89,9 +94,7 @@
   mHead.mHeaders = endToEndHeaders(mHead.mHeaders);
   mHead.mCloseAfter = closeAfter;
   if (mListener.mIsMatchingResponse && !mListener.mIsMatchingResponse(mHead)) {
-    mSkippingBody = true;
-    mSkippedResponse = true;
-    return kContinue;
+    return skipResponse(chunked || hasLength || isStatusWithoutBody(mParser.status_code));
   }
   if (mListener.mOnHead) {
     mListener.mOnHead(mHead);
@@ -102,24 +105,57 @@
   return mHeadRequest ? kSkipBody : kContinue;
 }
 
+int HttpConnection::failParsing(const char* aReason)
+{
+  mParsingFailure = aReason;
+  return kFail;
+}
+
+bool HttpConnection::countSkipped()
+{
+  return ++mSkippedHeads <= kMaxSkippedHeads;
+}
+
+int HttpConnection::onInterimHead()
+{
+  if (mParser.status_code == kSwitchingProtocols) {
+    return failParsing("the server switched protocols without being asked");
+  }
+  return countSkipped() ? kContinue : failParsing("too many interim responses");
+}
+
+/// Skips a response to another request.
+/// \param aHasEnd  the response ends before the connection does
+int HttpConnection::skipResponse(bool aHasEnd)
+{
+  mSkippingBody = true;
+  mSkippedResponse = true;
+  if (!aHasEnd || mCarriedHeadRequest) {
+    return failParsing("a response to another request, whose end is unknown");
+  }
+  return countSkipped() ? kContinue : failParsing("too many responses to other requests");
+}
+
 int HttpConnection::onBody(http_parser* aParser, const char* aBytes, std::size_t aLength)
 {
-  constexpr int kStopParsing = -1;
   HttpConnection* connection = static_cast<HttpConnection*>(aParser->data);
   if (connection->mSkippingBody) {
-    return 0;
+    connection->mSkippedBytes += aLength;
+    return connection->mSkippedBytes <= kMaxSkippedBytes
+             ? kContinue
+             : connection->failParsing("a response to another request is too long");
   }
   const bool keepReading =
     !connection->mListener.mOnBody || connection->mListener.mOnBody({ aBytes, aLength });
   if (connection->mSocket == nullptr) {
-    return kStopParsing;
+    return kFail;
   }
   if (!keepReading) {
     connection->mPaused = true;
     h2o_socket_read_stop(connection->mSocket);
     http_parser_pause(aParser, 1);
   }
-  return 0;
+  return kContinue;
 }
 
 int HttpConnection::onMessageComplete(http_parser* aParser)
