"Not run" is believed only with the id of the request

Cause: mIsMatchingResponse (RequestProxyExchange.h:13) took a response without X-Request-Id as the one to the request in progress, and RequestProxy::onComplete believed its X-Not-Executed or 421. With the id given twice the first one counted. An idle timeout page (408), and a 408, 429 or 503 with the id but without X-Not-Executed, was passed on, which tells the caller "not run" although the server had not said so. A 421 without an id took the target out of use. A second attempt at the same address could use the connection on which the first was refused, where a late copy has the right id. Change: RequestProxyOrigin.h decides. A request that may run once skips responses without its id and waits for the one with it; when none comes, its outcome is unknown (502, at the deadline 504). One that may run twice takes a response without an id as a failure: retried elsewhere at once, and not refused afterwards. Other failures without an id are not passed on either. The second attempt at an address asks for a new connection. Lost: a refusal by a server that does not send the id back, and refusals of requests without an id, become 502 or 504. Ruled out: an earlier refusal with its own id was skipped before, too; a cut one, and one that comes before the whole body was sent, are covered by OwnResponseTest. Calls to the store and to peers carry no id; for them only the look at the connection before it is used applies. There are no health calls on this path. Not covered: a caller that gives two requests one id.

--- a/bulrushrun/steering/MessageMetadata.h
+++ b/bulrushrun/steering/MessageMetadata.h
@@ -22,10 +22,12 @@
 /// \brief Metadata of a target's response, parsed from its status and headers.
 struct ResponseMetadata
 {
-  /// Id of the request that this is the response to.
+  /// Id of the request that this is the response to; empty when none, or different ones, are given.
   std::optional<std::string> mRequestId;
   /// The target declares that it did not execute the request.
   bool mDeclined = false;
+  /// The status tells a caller that the request was not executed, whoever sent it.
+  bool mPromisesNotRun = false;
   /// The address now belongs to another target.
   bool mMisdirected = false;
   /// Carries the signature that only targets set, so no intermediary made the response.
--- a/bulrushrun/steering/ProxiedRequest.h
+++ b/bulrushrun/steering/ProxiedRequest.h
@@ -46,6 +46,7 @@
   /// The earlier of the caller's deadline and the route's timeout.
   TimePoint mDeadline;
   std::set<TargetId> mTriedTargets;
+  std::set<Endpoint> mTriedEndpoints;
   /// Attempts that reached a target.
   int mAttempts = 0;
   /// Attempts started, whatever their result.
--- a/bulrushrun/steering/RequestProxy.h
+++ b/bulrushrun/steering/RequestProxy.h
@@ -161,7 +161,12 @@
   void startStreaming(Request& aRequest);
   void abandonAttempt(Request& aRequest);
   void forwardHead(Request& aRequest, std::optional<std::uint64_t> aLength);
-  bool isAuthentic(const TargetAttempt& aAttempt) const;
+
+  // Origin of responses.
+  bool isMatching(const Request& aRequest, const ResponseHead& aHead);
+  bool isDeclined(const Request& aRequest) const;
+  bool isAuthentic(const Request& aRequest) const;
+  static bool isSuccess(int aStatus) { return aStatus >= 200 && aStatus < 300; }
 
   Request* find(RequestId aId);
   PickQuery makePickQuery(const Request& aRequest) const;
@@ -193,3 +198,5 @@
 #include "bulrushrun/steering/RequestProxyActions.h"
 // Attempts at targets.
 #include "bulrushrun/steering/RequestProxyExchange.h"
+// Origin of responses.
+#include "bulrushrun/steering/RequestProxyOrigin.h"
--- a/bulrushrun/steering/RequestProxyExchange.h
+++ b/bulrushrun/steering/RequestProxyExchange.h
@@ -7,25 +7,6 @@
 
 namespace bulrushrun {
 
-template<class HostType, class Codec>
-ExchangeListener RequestProxy<HostType, Codec>::listener(RequestId aId)
-{
-  ExchangeListener listener;
-  listener.mBodyMayEndAtClose = true;
-  listener.mIsMatchingResponse = [this, aId](const ResponseHead& aHead) {
-    const Request* request = find(aId);
-    const ResponseMetadata metadata = Codec::parseResponseMetadata(aHead);
-    return request == nullptr || !metadata.mRequestId ||
-           *metadata.mRequestId == request->mMetadata.mId;
-  };
-  listener.mOnHead = [this, aId](const ResponseHead& aHead) { onHead(aId, aHead); };
-  listener.mOnBody = [this, aId](std::string_view aBytes) { return onBody(aId, aBytes); };
-  listener.mOnEnd = [this, aId](ExchangeResult aExchangeResult, const std::string& aReason) {
-    onEnd(aId, aExchangeResult, aReason);
-  };
-  return listener;
-}
-
 template<class HostType, class Codec>
 void RequestProxy<HostType, Codec>::startAttempt(Request& aRequest, const PickResult& aPick)
 {
@@ -48,8 +29,13 @@
     mHost.after(unresponsiveAfter(aRequest),
                 [this, id, attemptNumber] { onResponseTimeout(id, attemptNumber); });
   }
-  aRequest.mAttempt->mExchange = mHost.startExchange(
-    target.mEndpoint, std::move(request), ConnectionUse::Pooled, listener(aRequest.mId));
+  // On a kept connection, a late response to the first attempt would have the id of this one.
+  const bool isFirstHere = aRequest.mTriedEndpoints.insert(target.mEndpoint).second;
+  aRequest.mAttempt->mExchange =
+    mHost.startExchange(target.mEndpoint,
+                        std::move(request),
+                        isFirstHere ? ConnectionUse::Pooled : ConnectionUse::New,
+                        listener(aRequest.mId));
 }
 
 /// The target responded neither to this request nor to others for a while, so it may have failed
@@ -81,16 +67,6 @@
   dispatch(*request);
 }
 
-/// A success must not reach the caller when the origin or the body of the response is in doubt.
-template<class HostType, class Codec>
-bool RequestProxy<HostType, Codec>::isAuthentic(const TargetAttempt& aAttempt) const
-{
-  const int status = aAttempt.mHead->mStatus;
-  const bool success = status >= 200 && status < 300;
-  return !success || (aAttempt.mMetadata.mSigned && aAttempt.mMetadata.mRequestId &&
-                      !aAttempt.mMetadata.mEncoded);
-}
-
 template<class HostType, class Codec>
 void RequestProxy<HostType, Codec>::onHead(RequestId aId, const ResponseHead& aHead)
 {
@@ -102,6 +78,10 @@
   attempt.mHead = aHead;
   attempt.mMetadata = Codec::parseResponseMetadata(aHead);
   mPicker.stats(attempt.mTarget).onResponseStarted(mHost.now());
+  if (!attempt.mMetadata.mRequestId) {
+    // What it says of the target may be out of date.
+    return;
+  }
   if (attempt.mMetadata.mLoad) {
     mPicker.stats(attempt.mTarget).onReport(attempt.mMetadata.mLoad->total(), mHost.now());
     if (mOnLoadReport) {
@@ -128,7 +108,7 @@
   }
   attempt.mBody.append(aBytes);
   if (attempt.mBody.size() > kMaxBufferedResponseBytes && !attempt.mMetadata.mDeclined &&
-      isAuthentic(attempt)) {
+      isAuthentic(*request)) {
     startStreaming(*request);
   }
   return true;
@@ -218,7 +198,7 @@
   TargetAttempt& attempt = *aRequest.mAttempt;
   const Duration elapsed = now - attempt.mStarted;
   const int status = attempt.mHead->mStatus;
-  if (attempt.mMetadata.mDeclined) {
+  if (isDeclined(aRequest)) {
     const bool full = attempt.mMetadata.mLoad && attempt.mMetadata.mLoad->isFull();
     recordAttemptResult(aRequest, full ? AttemptResult::Full : AttemptResult::Declined);
     aRequest.mReason = "the target declined with status " + std::to_string(status);
@@ -226,7 +206,7 @@
     apply(id, RequestEvent::TargetDeclined);
     return;
   }
-  if (!aRequest.mStreaming && !isAuthentic(attempt)) {
+  if (!aRequest.mStreaming && !isAuthentic(aRequest)) {
     recordAttemptResult(aRequest, AttemptResult::Broken);
     aRequest.mReason = "the response is not authentic";
     logFailedAttempt(aRequest, elapsed);
--- a/bulrushrun/steering/tests/FleetSimulation.cpp
+++ b/bulrushrun/steering/tests/FleetSimulation.cpp
@@ -35,12 +35,12 @@
 
 ExchangeId SimulatedHost::startExchange(const Endpoint& aTo,
                                         HttpRequest aRequest,
-                                        ConnectionUse,
+                                        ConnectionUse aUse,
                                         ExchangeListener aListener)
 {
   const ExchangeId id = mSimulation.mLastExchange = mSimulation.mLastExchange.next();
   mSimulation.mExchanges[id.value()] = {
-    mOwnEndpoint, aTo, std::move(aRequest), std::move(aListener)
+    mOwnEndpoint, aTo, std::move(aRequest), aUse, std::move(aListener)
   };
   after(FleetSimulation::kLinkLatency, [this, id] { mSimulation.deliver(id); });
   return id;
@@ -265,6 +265,19 @@
   run(2 * kLinkLatency);
 }
 
+void FleetSimulation::writeResponse(ExchangeId aExchange,
+                                    int aStatus,
+                                    Headers aHeaders,
+                                    const std::string& aBody)
+{
+  const ResponseHead head{ aStatus, std::move(aHeaders), std::nullopt };
+  const ExchangeListener& listener = exchange(aExchange).mListener;
+  if (!listener.mIsMatchingResponse || listener.mIsMatchingResponse(head)) {
+    finish(aExchange, { head, aBody });
+  }
+  run(2 * kLinkLatency);
+}
+
 void FleetSimulation::respondOk(ExchangeId aExchange)
 {
   respondTo(aExchange, 200, { { "X-Response-Signature", "sig" } }, "body");
--- a/bulrushrun/steering/tests/FleetSimulation.h
+++ b/bulrushrun/steering/tests/FleetSimulation.h
@@ -53,6 +53,7 @@
   Endpoint mFrom;
   Endpoint mTo;
   HttpRequest mRequest;
+  ConnectionUse mUse = ConnectionUse::Pooled;
   ExchangeListener mListener;
 };
 
@@ -130,6 +131,9 @@
   }
   /// \brief Responds to an exchange as its target.
   void respondTo(ExchangeId aExchange, int aStatus, Headers aHeaders, const std::string& aBody);
+  /// \brief Writes a response to the connection of an exchange, with exactly these headers. As a
+  /// connection does, skips it when the listener says that it belongs to another request.
+  void writeResponse(ExchangeId aExchange, int aStatus, Headers aHeaders, const std::string& aBody);
   /// \brief Responds with status 200 and a signature.
   void respondOk(ExchangeId aExchange);
   /// \brief Ends an exchange without a response.
