Soak: targets that send earlier refusals again

Change: FaultProxy keeps the last refusal of each connection and sends it once more, as it was or without its id, when the next request arrives there. The summary counts what was sent again.

--- a/soak/FaultProxy.cpp
+++ b/soak/FaultProxy.cpp
@@ -6,6 +6,8 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <cctype>
 #include <utility>
 
 namespace bulrushrun::soak {
@@ -94,6 +96,7 @@
   if (connection.mBlackholed) {
     return;
   }
+  connection.mOwner->repeatRefusal(connection, source, bytes);
   connection.mOwner->forward(destination, std::move(bytes));
   if (aError != nullptr) {
     destination.mClosing = true;
@@ -102,6 +105,34 @@
   }
 }
 
+void FaultProxy::repeatRefusal(Connection& aConnection,
+                               const Side& aSource,
+                               const std::string& aBytes)
+{
+  if (&aSource == &aConnection.mServerSide) {
+    if (aBytes.starts_with("HTTP/1.1 503")) {
+      aConnection.mLastRefusal = aBytes;
+    }
+    return;
+  }
+  if (mRepetition == Repetition::None || aConnection.mLastRefusal.empty() || aBytes.empty()) {
+    return;
+  }
+  std::string refusal = aConnection.mLastRefusal;
+  if (mRepetition == Repetition::WithoutId) {
+    std::string lowered = refusal;
+    std::transform(lowered.begin(), lowered.end(), lowered.begin(), [](unsigned char aLetter) {
+      return static_cast<char>(std::tolower(aLetter));
+    });
+    const std::size_t line = lowered.find("x-request-id:");
+    if (line != std::string::npos) {
+      refusal.erase(line, refusal.find("\r\n", line) + 2 - line);
+    }
+  }
+  ++mRepeatedRefusals;
+  forward(aConnection.mClientSide, std::move(refusal));
+}
+
 void FaultProxy::forward(Side& aDestination, std::string aBytes)
 {
   if (mDelay == Duration{ 0 }) {
--- a/soak/FaultProxy.h
+++ b/soak/FaultProxy.h
@@ -11,11 +11,19 @@
 namespace bulrushrun::soak {
 
 /// \brief TCP proxy on the loopback interface that injects network faults in front of one address:
-/// delays, stalls in one or both directions, blackholed connections, resets and refused
-/// connections.
+/// delays, stalls in one or both directions, blackholed connections, resets, refused connections
+/// and refusals that are sent again.
 class FaultProxy
 {
 public:
+  /// \brief How an earlier refusal is sent again.
+  enum class Repetition
+  {
+    None,
+    Unchanged,
+    WithoutId,
+  };
+
   /// \throws std::system_error if the address can't be bound
   FaultProxy(EventLoop& aLoop, const Endpoint& aListen, const Endpoint& aDestination);
   FaultProxy(const FaultProxy&) = delete;
@@ -36,6 +44,9 @@
   void reset();
   /// \brief Refuses new connections while set.
   void setRefusing(bool aRefuse);
+  /// \brief Makes each request on a kept connection cause the last refusal on it to be sent again.
+  void repeatRefusals(Repetition aRepetition) { mRepetition = aRepetition; }
+  std::size_t repeatedRefusals() const { return mRepeatedRefusals; }
 
 private:
   struct Connection;
@@ -58,6 +69,7 @@
     FaultProxy* mOwner = nullptr;
     Side mClientSide;
     Side mServerSide;
+    std::string mLastRefusal;
     bool mConnected = false;
     bool mBlackholed = false;
     bool mClosed = false;
@@ -75,6 +87,7 @@
   {
     return aDestination.mIsForward ? mStallForward : mStallBackward;
   }
+  void repeatRefusal(Connection& aConnection, const Side& aSource, const std::string& aBytes);
   void forward(Side& aDestination, std::string aBytes);
   void flush(Side& aDestination);
 
@@ -85,6 +98,8 @@
   Duration mDelay{ 0 };
   bool mStallForward = false;
   bool mStallBackward = false;
+  Repetition mRepetition = Repetition::None;
+  std::size_t mRepeatedRefusals = 0;
   std::vector<std::unique_ptr<Connection>> mConnections;
 };
 
--- a/soak/SoakFaults.cpp
+++ b/soak/SoakFaults.cpp
@@ -30,7 +30,11 @@
 {
   const std::size_t number = mRandom.below(mInstances.size());
   const Duration duration = std::chrono::milliseconds(200 + mRandom.below(3500));
-  switch (mRandom.below(10)) {
+  if (mOptions.mOnlyRepeatedRefusals) {
+    injectRepeatedRefusals(duration);
+    return;
+  }
+  switch (mRandom.below(11)) {
     case 0:
     case 1:
       injectProcessFault(number, duration);
@@ -54,6 +58,9 @@
     case 8:
       injectCallerNetworkFault(number, duration);
       break;
+    case 9:
+      injectRepeatedRefusals(duration);
+      break;
     default:
       drainTarget();
       break;
@@ -203,6 +210,23 @@
   mLoop.after(aDuration, [&target] { target.faults() = {}; });
 }
 
+/// A target declines requests, and later sends these refusals once more on the same connections.
+void SoakRun::injectRepeatedRefusals(Duration aDuration)
+{
+  Target& target = mTargets[mRandom.below(mOptions.mTargets)];
+  mChecker.targets().addDisturbance(EventLoop::now() + aDuration);
+  const bool withoutId = mRandom.chance(0.5);
+  logFault("target " + target.mServer->setup().mId + " repeats refusals" +
+           (withoutId ? " without an id" : ""));
+  target.mServer->faults().mShedProbability = 0.4;
+  target.mFaultProxy->repeatRefusals(withoutId ? FaultProxy::Repetition::WithoutId
+                                               : FaultProxy::Repetition::Unchanged);
+  mLoop.after(aDuration, [&target] {
+    target.mServer->faults() = {};
+    target.mFaultProxy->repeatRefusals(FaultProxy::Repetition::None);
+  });
+}
+
 void SoakRun::injectCallerNetworkFault(std::size_t aNumber, Duration aDuration)
 {
   FaultProxy& proxy = *mInstances[aNumber].mCallerFaultProxy;
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -249,9 +249,14 @@
 
 std::string SoakRun::summary() const
 {
+  std::size_t repeatedRefusals = 0;
+  for (const Target& target : mTargets) {
+    repeatedRefusals += target.mFaultProxy->repeatedRefusals();
+  }
   return mChecker.summary() + ", success share at the end " +
          std::to_string(mChecker.successShareSince(mEndAt - kFinalWindow)) +
-         ", stalls of the machine " + std::to_string(mStalls);
+         ", repeated refusals " + std::to_string(repeatedRefusals) + ", stalls of the machine " +
+         std::to_string(mStalls);
 }
 
 } // namespace bulrushrun::soak
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -28,6 +28,8 @@
   Duration mFaultPause = std::chrono::milliseconds(900);
   /// Inject no faults and no maintenance.
   bool mCalm = false;
+  /// The only faults are targets that send earlier refusals again.
+  bool mOnlyRepeatedRefusals = false;
   /// Program under test.
   std::string mProgram;
   /// Folder for settings and logs.
@@ -90,6 +92,7 @@
   void denyStoreAccess(std::size_t aNumber, Duration aDuration);
   void injectTargetNetworkFault(Duration aDuration);
   void injectTargetFault(Duration aDuration);
+  void injectRepeatedRefusals(Duration aDuration);
   void injectCallerNetworkFault(std::size_t aNumber, Duration aDuration);
   void drainTarget();
   void logFault(const std::string& aText);
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -16,6 +16,7 @@
 ABSL_FLAG(double, rate, 80, "requests per second of each run");
 ABSL_FLAG(double, seconds, 20, "duration of the fault injection in each run, in seconds");
 ABSL_FLAG(bool, calm, false, "inject no faults and no maintenance");
+ABSL_FLAG(bool, repeated_refusals, false, "inject only targets that send refusals again");
 ABSL_FLAG(std::string, folder, "", "folder for settings and logs; empty for a temporary one");
 
 namespace {
@@ -37,6 +38,7 @@
   options.mRequestsPerSecond = absl::GetFlag(FLAGS_rate);
   options.mFaultSpan = fromSeconds(absl::GetFlag(FLAGS_seconds));
   options.mCalm = absl::GetFlag(FLAGS_calm);
+  options.mOnlyRepeatedRefusals = absl::GetFlag(FLAGS_repeated_refusals);
   options.mProgram = absl::GetFlag(FLAGS_program);
   options.mFolder = folder / ("seed-" + std::to_string(aSeed));
   fs::remove_all(options.mFolder);
