--- a/bulrushrun/net/HttpConnection.h
+++ b/bulrushrun/net/HttpConnection.h
@@ -18,7 +18,7 @@
 ///
 /// A response whose end can't be verified (neither Content-Length nor chunked) counts as
 /// interrupted, unless the listener accepts a body that ends when the connection closes. Responses
-/// to other requests are skipped.
+/// to other requests are skipped, up to a limit; after one, the connection is not used again.
 class HttpConnection
 {
 public:
@@ -41,6 +41,9 @@
   void abort();
   /// \brief Resumes reading after the listener paused it.
   void resume();
+  /// \brief \returns false when something has arrived on the idle connection: bytes that belong to
+  /// no request, or its end.
+  bool isQuiet();
 
   /// \brief \returns false when connecting could not be started, or when the connection is closed.
   bool isOpen() const { return mSocket != nullptr; }
@@ -52,6 +55,8 @@
   /// \brief \returns the idle time before the last exchange, when the connection failed without a
   /// byte of a response: it was stale, that is, the peer had already dropped it.
   std::optional<Duration> staleAfter() const { return mStaleAfter; }
+  /// \brief \returns true when bytes arrived that belong to no request.
+  bool hasStrayBytes() const { return mHasStrayBytes; }
 
 private:
   static void onConnect(h2o_socket_t* aSocket, const char* aError);
@@ -69,6 +74,10 @@
   void send();
   void parse();
   int onHeadComplete();
+  int onInterimHead();
+  int skipResponse(bool aHasEnd);
+  bool countSkipped();
+  int failParsing(const char* aReason);
   void finishExchange();
   void fail(ExchangeResult aEnd, const std::string& aReason);
   void closeSocket();
@@ -95,6 +104,13 @@
   bool mResponseComplete = false;
   bool mSkippingBody = false;
   bool mSkippedResponse = false;
+  /// Interim responses and responses to other requests during this exchange.
+  int mSkippedHeads = 0;
+  std::size_t mSkippedBytes = 0;
+  /// The connection carried a HEAD request, so a late response to it may have no body.
+  bool mCarriedHeadRequest = false;
+  bool mHasStrayBytes = false;
+  const char* mParsingFailure = nullptr;
   Duration mIdleTimeout;
   /// Idle time before the exchange in progress; empty for the first exchange, and once bytes of
   /// the response have arrived.
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -30,6 +30,8 @@
   bool mCalm = false;
   /// Inject only planned work, so that no disturbance excuses an interrupted request.
   bool mPlannedOnly = false;
+  /// The only faults are targets that send earlier refusals again.
+  bool mOnlyRepeatedRefusals = false;
   /// Program under test.
   std::string mProgram;
   /// Folder for settings and logs.
@@ -94,6 +96,7 @@
   void denyStoreAccess(std::size_t aNumber, Duration aDuration);
   void injectTargetNetworkFault(Duration aDuration);
   void injectTargetFault(Duration aDuration);
+  void injectRepeatedRefusals(Duration aDuration);
   void injectCallerNetworkFault(std::size_t aNumber, Duration aDuration);
   void drainTarget();
   void logFault(const std::string& aText);
