Tests: every prefix of an answer, with close and with reset

Evidence: every prefix of 17 answers (length, chunked, trailers, no length, HTTP/1.0, 204, 304, HEAD, informational answers first, folded headers, no reason, line feeds only) is sent in one write and byte by byte, then closed or reset, to the real client over real sockets. No prefix counts as complete, a reset never ends a body without a length, and a cut length is not used. The same answers never give the client of the store and of peers a part as the whole, and it refuses bodies that end at close. Contradictory, malformed and huge lengths, a length with chunks and malformed chunks are refused. Ruled out: http-parser's end of input. It reports a complete message only in the body of an answer that ends at close, and an error in an unfinished head.

--- /dev/null
+++ b/bulrushrun/net/tests/CutAnswerTest.cpp
@@ -0,0 +1,202 @@
+#include "bulrushrun/net/tests/CutAnswerServer.h"
+#include "bulrushrun/store/BufferedExchange.h"
+
+#include <gtest/gtest.h>
+
+namespace bulrushrun {
+namespace {
+
+/// Guards against taking a part of an answer as the whole: a server may stop at any byte.
+struct CutAnswerTest : testing::Test
+{
+  struct Received
+  {
+    ResponseHead mHead;
+    std::string mBody;
+    std::optional<ExchangeResult> mResult;
+  };
+
+  Received receive(const std::string& aBytes,
+                   Cut aCut = Cut::CloseAfterOneWrite,
+                   const std::string& aMethod = "GET",
+                   bool aMayEndAtClose = true)
+  {
+    mServer.setAnswer(aBytes, aCut);
+    Received received;
+    {
+      HttpClient client{ mLoop };
+      ExchangeListener listener;
+      listener.mBodyMayEndAtClose = aMayEndAtClose;
+      listener.mOnHead = [&](const ResponseHead& aHead) { received.mHead = aHead; };
+      listener.mOnBody = [&](std::string_view aBody) {
+        received.mBody.append(aBody);
+        return true;
+      };
+      listener.mOnEnd = [&](ExchangeResult aResult, const std::string&) {
+        received.mResult = aResult;
+        mLoop.stop();
+      };
+      client.start(kPeer, { aMethod, "/", {}, {} }, ConnectionUse::Pooled, std::move(listener));
+      mLoop.run();
+      destroyClosedConnections();
+    }
+    return received;
+  }
+  void destroyClosedConnections()
+  {
+    mLoop.after(Duration{ 0 }, [this] { mLoop.stop(); });
+    mLoop.run();
+  }
+
+  EventLoop mLoop;
+  CutAnswerServer mServer;
+};
+
+/// Guards against a cut head or body that counts as complete: every prefix of every framing.
+TEST_F(CutAnswerTest, NoPrefixIsComplete)
+{
+  for (const SampleAnswer& answer : sampleAnswers()) {
+    for (const Cut cut : kCuts) {
+      for (std::size_t n = 0; n < answer.wholeFrom(); ++n) {
+        const Received received = receive(answer.mBytes.substr(0, n), cut, answer.mMethod);
+        ASSERT_EQ(*received.mResult, ExchangeResult::Interrupted)
+          << answer.mName << ", " << n << " bytes, cut " << static_cast<int>(cut);
+      }
+    }
+  }
+}
+
+/// Guards against losing whole answers, and against a wrong body or status.
+TEST_F(CutAnswerTest, WholeAnswersAreComplete)
+{
+  for (const SampleAnswer& answer : sampleAnswers()) {
+    for (const Cut cut : { Cut::CloseAfterOneWrite, Cut::CloseAfterSingleBytes }) {
+      for (std::size_t n = answer.wholeFrom(); n <= answer.mBytes.size(); ++n) {
+        const Received received = receive(answer.mBytes.substr(0, n), cut, answer.mMethod);
+        ASSERT_EQ(*received.mResult, ExchangeResult::Complete)
+          << answer.mName << ", " << n << " bytes, cut " << static_cast<int>(cut);
+        EXPECT_EQ(received.mHead.mStatus, answer.mStatus) << answer.mName;
+        EXPECT_EQ(received.mBody, answer.bodyOf(n)) << answer.mName;
+      }
+    }
+  }
+}
+
+/// Guards against taking a reset as the orderly end of a body without a length.
+TEST_F(CutAnswerTest, ResetDoesNotEndABodyWithoutALength)
+{
+  for (const SampleAnswer& answer : sampleAnswers()) {
+    for (const Cut cut : { Cut::ResetAfterOneWrite, Cut::ResetAfterSingleBytes }) {
+      for (std::size_t n = answer.wholeFrom(); answer.mEndsAtClose && n <= answer.mBytes.size();
+           ++n) {
+        ASSERT_EQ(*receive(answer.mBytes.substr(0, n), cut).mResult, ExchangeResult::Interrupted)
+          << answer.mName << ", " << n << " bytes";
+      }
+    }
+  }
+}
+
+/// Guards against a digit of the length that is lost with the rest of the head.
+TEST_F(CutAnswerTest, ACutLengthIsNotUsed)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 12";
+  for (const char* rest : { "", "\r", "\r\n", "\r\n\r", "00\r\nX-Response-Sig" }) {
+    for (const Cut cut : kCuts) {
+      const Received received = receive(head + rest, cut);
+      EXPECT_EQ(*received.mResult, ExchangeResult::Interrupted) << rest;
+      EXPECT_TRUE(received.mHead.mHeaders.empty()) << "no head is reported";
+    }
+  }
+}
+
+/// Guards against rows from a part of a store's or a peer's answer.
+TEST_F(CutAnswerTest, NoPrefixIsCompleteForTheStoreClient)
+{
+  EventLoopHost host{ mLoop, kUnusedEndpoint, [](const std::string&) {} };
+  for (const SampleAnswer& answer : sampleAnswers()) {
+    for (std::size_t n = 0; n <= answer.mBytes.size(); ++n) {
+      mServer.setAnswer(answer.mBytes.substr(0, n), kCuts[n % std::size(kCuts)]);
+      std::optional<ExchangeResult> result;
+      std::string body;
+      startBufferedExchange(host,
+                            kPeer,
+                            HttpRequest{ answer.mMethod, "/", {}, {} },
+                            std::chrono::seconds(5),
+                            1000,
+                            [&](ExchangeResult aResult, const HttpResponse& aResponse) {
+                              result = aResult;
+                              body = aResponse.mBody;
+                              mLoop.stop();
+                            });
+      mLoop.run();
+      const bool mayBeComplete = n == answer.mBytes.size() && !answer.mEndsAtClose;
+      EXPECT_TRUE(mayBeComplete || *result == ExchangeResult::Interrupted)
+        << answer.mName << ", " << n << " bytes";
+      EXPECT_TRUE(*result != ExchangeResult::Complete || body == answer.mBody) << answer.mName;
+    }
+  }
+  destroyClosedConnections();
+}
+
+/// Answers whose framing is in doubt.
+struct DoubtfulFramingTest : CutAnswerTest
+{
+  void expectRefused(const std::string& aHeaders, const std::string& aBody)
+  {
+    for (const bool mayEndAtClose : { false, true }) {
+      for (const Cut cut : { Cut::CloseAfterOneWrite, Cut::CloseAfterSingleBytes }) {
+        const std::string bytes = "HTTP/1.1 200 OK\r\n" + aHeaders + "\r\n" + aBody;
+        EXPECT_EQ(*receive(bytes, cut, "GET", mayEndAtClose).mResult, ExchangeResult::Interrupted)
+          << aHeaders;
+      }
+    }
+  }
+};
+
+/// Guards against a body of the wrong length: the lengths contradict each other or are none.
+TEST_F(DoubtfulFramingTest, ContradictoryAndMalformedLengthsAreRefused)
+{
+  for (const char* headers : { "Content-Length: 5\r\nContent-Length: 6\r\n",
+                               "Content-Length: 5\r\nContent-Length: 5\r\n",
+                               "Content-Length: 5, 5\r\n",
+                               "Content-Length: 5 5\r\n",
+                               "Content-Length: 5\r\n 0\r\n",
+                               "Content-Length: -5\r\n",
+                               "Content-Length: +5\r\n",
+                               "Content-Length: 5x\r\n",
+                               "Content-Length: 0x5\r\n",
+                               "Content-Length: 5.0\r\n",
+                               "Content-Length:\r\n",
+                               "Content-Length: 9223372036854775807\r\n",
+                               "Content-Length: 18446744073709551615\r\n",
+                               "Content-Length: 18446744073709551621\r\n",
+                               "Content-Length: 99999999999999999999999\r\n" }) {
+    expectRefused(headers, "hello");
+  }
+}
+
+/// Guards against two readings of one body: a length together with chunks.
+TEST_F(DoubtfulFramingTest, LengthTogetherWithChunksIsRefused)
+{
+  for (const char* headers : { "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+                               "Transfer-Encoding: chunked\r\nContent-Length: 15\r\n" }) {
+    expectRefused(headers, "5\r\nhello\r\n0\r\n\r\n");
+  }
+}
+
+/// Guards against chunks of the wrong size.
+TEST_F(DoubtfulFramingTest, MalformedChunksAreRefused)
+{
+  for (const char* body : { "-5\r\nhello\r\n0\r\n\r\n",
+                            "5\r\nhello world\r\n0\r\n\r\n",
+                            "0x5\r\nhello\r\n0\r\n\r\n",
+                            "\r\nhello\r\n0\r\n\r\n",
+                            "fffffffffffffffff\r\nhello\r\n0\r\n\r\n",
+                            "5\r\nhello\r\n0\r\n",
+                            "5\r\nhello\r\n" }) {
+    expectRefused("Transfer-Encoding: chunked\r\n", body);
+  }
+}
+
+} // namespace
+} // namespace bulrushrun
