Client: answers without a body end after their head

A 204 or 304 that states a length or chunks never completes (or takes the bytes that follow as its body); on a route that may not be repeated the caller gets 502 or waits until its deadline. Cause: HttpConnection::onHeadComplete told http-parser to expect a body, which the parser derives from the headers alone. Only answers to HEAD were excepted. Evidence: failed before. InformationalAnswersHaveNoBody: received.mBody Which is: "hellook" (expected ""), and "HTTP/" for "ok"; WholeAnswersAreComplete: "not modified, 100 bytes, cut 0" Interrupted; AnswersWithoutABodyEndAfterTheirHead: 204 and 304 with either framing. All pass now. Change: no body is expected after 1xx, 204 and 304, also when the answer belongs to another request. Bytes that follow them are no answer and interrupt the exchange or keep the connection from being used again.

--- a/bulrushrun/net/HttpConnectionParsing.cpp
+++ b/bulrushrun/net/HttpConnectionParsing.cpp
@@ -18,6 +18,7 @@
 constexpr Duration kIdleTimeoutMargin = std::chrono::milliseconds(500);
 constexpr std::int64_t kMaxIdleTimeoutSeconds = 60;
 
+/// \returns true for a response that ends after its head, even if that states a length.
 bool isStatusWithoutBody(unsigned aStatus)
 {
   return aStatus == 204 || aStatus == 304;
@@ -72,7 +73,7 @@
   constexpr int kFail = -1;
   mReadingHeaderValue = false;
   if (mParser.status_code < 200) {
-    return kContinue;
+    return kSkipBody;
   }
   const bool chunked = (mParser.flags & F_CHUNKED) != 0;
   const bool hasLength = mParser.content_length != std::numeric_limits<std::uint64_t>::max();
@@ -91,7 +92,7 @@
   if (mListener.mIsMatchingResponse && !mListener.mIsMatchingResponse(mHead)) {
     mSkippingBody = true;
     mSkippedResponse = true;
-    return kContinue;
+    return isStatusWithoutBody(mParser.status_code) ? kSkipBody : kContinue;
   }
   if (mListener.mOnHead) {
     mListener.mOnHead(mHead);
@@ -99,7 +100,7 @@
   if (mSocket == nullptr) {
     return kFail;
   }
-  return mHeadRequest ? kSkipBody : kContinue;
+  return withoutBody ? kSkipBody : kContinue;
 }
 
 int HttpConnection::onBody(http_parser* aParser, const char* aBytes, std::size_t aLength)
--- a/bulrushrun/net/tests/CutAnswerServer.h
+++ b/bulrushrun/net/tests/CutAnswerServer.h
@@ -146,7 +146,12 @@
       "HTTP/1.0 200 OK\r\n" + ids + "Content-Length: 11\r\n\r\nhello world",
       "hello world" },
     { "no content", "HTTP/1.1 204 No Content\r\n" + ids + "\r\n", "", "GET", false, 204 },
-    { "not modified", "HTTP/1.1 304 Not Modified\r\n" + ids + "\r\n", "", "GET", false, 304 },
+    { "not modified",
+      "HTTP/1.1 304 Not Modified\r\n" + ids + "Content-Length: 11\r\n\r\n",
+      "",
+      "GET",
+      false,
+      304 },
     { "answer to HEAD", ok + ids + "Content-Length: 11\r\n\r\n", "", "HEAD" },
     { "after informational answers",
       "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + ok + ids +
--- a/bulrushrun/net/tests/CutAnswerTest.cpp
+++ b/bulrushrun/net/tests/CutAnswerTest.cpp
@@ -198,5 +198,37 @@
   }
 }
 
+/// Guards against the bytes after an informational head in the body of the answer.
+TEST_F(DoubtfulFramingTest, InformationalAnswersHaveNoBody)
+{
+  const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  for (const char* framing : { "Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n" }) {
+    const std::string head = std::string("HTTP/1.1 103 Early Hints\r\n") + framing + "\r\n";
+    const Received received = receive(head + ok);
+    EXPECT_EQ(*received.mResult, ExchangeResult::Complete) << head;
+    EXPECT_EQ(received.mBody, "ok");
+    for (const char* body : { "hello", "5\r\nhello\r\n0\r\n\r\n" }) {
+      const Received inDoubt = receive(head + body + ok);
+      EXPECT_EQ(*inDoubt.mResult, ExchangeResult::Interrupted) << head;
+      EXPECT_EQ(inDoubt.mBody, "") << "no byte precedes the head of the answer";
+    }
+  }
+}
+
+/// Guards against waiting for a body that never comes, and against taking one where none may be.
+TEST_F(DoubtfulFramingTest, AnswersWithoutABodyEndAfterTheirHead)
+{
+  for (const char* status : { "204 No Content", "304 Not Modified" }) {
+    for (const char* framing : { "", "Content-Length: 11\r\n", "Transfer-Encoding: chunked\r\n" }) {
+      for (const char* body : { "", "hello world" }) {
+        const Received received =
+          receive(std::string("HTTP/1.1 ") + status + "\r\n" + framing + "\r\n" + body);
+        EXPECT_EQ(*received.mResult, ExchangeResult::Complete) << status << " " << framing;
+        EXPECT_EQ(received.mBody, "");
+      }
+    }
+  }
+}
+
 } // namespace
 } // namespace bulrushrun
