Client: refuse transfer codings other than chunked

Cause: the client looked only at http-parser's chunked flag. Of "gzip, chunked" it removed the chunks alone; without a final "chunked" it read the body up to the close of the connection. Change: an answer whose only transfer coding is not chunked, once, is interrupted at its head. The client asks for none (TE is not passed on).

--- a/bulrushrun/net/HttpConnectionParsing.cpp
+++ b/bulrushrun/net/HttpConnectionParsing.cpp
@@ -24,6 +24,22 @@
   return aStatus == 204 || aStatus == 304;
 }
 
+/// \returns true when the body has a transfer coding other than chunked, which would have to be
+/// decoded.
+bool hasUnsupportedTransferCoding(const Headers& aHeaders)
+{
+  int codings = 0;
+  bool chunked = true;
+  for (const Header& header : aHeaders) {
+    if (equalHeaderNames(header.mName, "transfer-encoding")) {
+      const std::size_t end = header.mValue.find_last_not_of(" \t") + 1;
+      chunked = equalHeaderNames(std::string_view{ header.mValue }.substr(0, end), "chunked");
+      ++codings;
+    }
+  }
+  return codings > 1 || !chunked;
+}
+
 } // namespace
 
 /// Takes the idle timeout from "Keep-Alive: timeout=N", N in whole seconds.
@@ -75,6 +91,9 @@
   if (mParser.status_code < 200) {
     return kSkipBody;
   }
+  if (hasUnsupportedTransferCoding(mHead.mHeaders)) {
+    return kFail;
+  }
   const bool chunked = (mParser.flags & F_CHUNKED) != 0;
   const bool hasLength = mParser.content_length != std::numeric_limits<std::uint64_t>::max();
   const bool withoutBody = mHeadRequest || isStatusWithoutBody(mParser.status_code);
--- a/bulrushrun/net/tests/CutAnswerTest.cpp
+++ b/bulrushrun/net/tests/CutAnswerTest.cpp
@@ -184,6 +184,21 @@
   }
 }
 
+/// Guards against passing on the bytes of a transfer coding as the body.
+TEST_F(DoubtfulFramingTest, TransferCodingsOtherThanChunkedAreRefused)
+{
+  for (const char* headers : { "Transfer-Encoding: gzip\r\n",
+                               "Transfer-Encoding: gzip, chunked\r\n",
+                               "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+                               "Transfer-Encoding: chunked, gzip\r\n",
+                               "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+                               "Transfer-Encoding: xchunked\r\n",
+                               "Transfer-Encoding: chun\r\n ked\r\n",
+                               "Transfer-Encoding:\r\n" }) {
+    expectRefused(headers, "5\r\nhello\r\n0\r\n\r\n");
+  }
+}
+
 /// Guards against chunks of the wrong size.
 TEST_F(DoubtfulFramingTest, MalformedChunksAreRefused)
 {
