Client: refuse header names that contain a space

Cause: http-parser accepts spaces in header names and takes "Content-Length : 5" and "Transfer-Encoding : chunked" as framing. Under that name they are not recognised as headers of one connection, so they are passed on with the answer. Evidence: HeaderNamesThatAreNoTokensAreRefused failed before in 12 of 24 exchanges: result Complete (0) instead of Interrupted (2) for "Content-Length : 5", "X Odd: 1" and "Transfer-Encoding : chunked". A tab before the colon, an empty name and a line without a colon were refused already. Change: such an answer is interrupted at its head.

--- a/bulrushrun/net/HttpConnectionParsing.cpp
+++ b/bulrushrun/net/HttpConnectionParsing.cpp
@@ -40,6 +40,15 @@
   return codings > 1 || !chunked;
 }
 
+/// \returns true when a name contains a space, which http-parser accepts: the next hop would read
+/// the header differently, or refuse the response.
+bool hasMalformedName(const Headers& aHeaders)
+{
+  return std::any_of(aHeaders.begin(), aHeaders.end(), [](const Header& aHeader) {
+    return aHeader.mName.find(' ') != std::string::npos;
+  });
+}
+
 } // namespace
 
 /// Takes the idle timeout from "Keep-Alive: timeout=N", N in whole seconds.
@@ -91,7 +100,7 @@
   if (mParser.status_code < 200) {
     return kSkipBody;
   }
-  if (hasUnsupportedTransferCoding(mHead.mHeaders)) {
+  if (hasMalformedName(mHead.mHeaders) || hasUnsupportedTransferCoding(mHead.mHeaders)) {
     return kFail;
   }
   const bool chunked = (mParser.flags & F_CHUNKED) != 0;
--- a/bulrushrun/net/tests/CutAnswerTest.cpp
+++ b/bulrushrun/net/tests/CutAnswerTest.cpp
@@ -213,6 +213,19 @@
   }
 }
 
+/// Guards against a header that frames the answer here and is passed on as another one.
+TEST_F(DoubtfulFramingTest, HeaderNamesThatAreNoTokensAreRefused)
+{
+  for (const char* headers : { "Content-Length : 5\r\n",
+                               "Content-Length\t: 5\r\n",
+                               "Content-Length: 5\r\nX Odd: 1\r\n",
+                               "Content-Length: 5\r\n: 1\r\n",
+                               "Content-Length: 5\r\nX-Odd\r\n" }) {
+    expectRefused(headers, "hello");
+  }
+  expectRefused("Transfer-Encoding : chunked\r\n", "5\r\nhello\r\n0\r\n\r\n");
+}
+
 /// Guards against the bytes after an informational head in the body of the answer.
 TEST_F(DoubtfulFramingTest, InformationalAnswersHaveNoBody)
 {
