Responder: a truncated body without a length ends with a reset

A target's answer without a length (chunked, or ended by close) above the buffer limit breaks off while it is passed on; the caller's connection is then closed in an orderly way, which is how such a body ends. Cause: h2o sends a body without a length in chunks only to HTTP/1.1 callers and, as measured, only with status 200. With 201, and to every HTTP/1.0 caller, the body has no framing and ends with the connection; HttpResponder::abort, and the kernel when the process ends, close it in an orderly way. Evidence: failed before. StreamedAnswerTest.BrokenAnswerIsVisiblyBroken in 29 calls: caller.isSuccess() && caller.isWhole() Actual: true, for example "201 chunked, 307200 bytes, to GET /a/x HTTP/1.1" (closed, reset, with and without Connection: close or Upgrade) and "200 chunked, 307200 bytes, to GET /a/x HTTP/1.0". Change: while the last bytes of a body without a length have not been handed to h2o, closing the connection resets it (SO_LINGER), whoever closes it. Ruled out: answers with a length, and chunked answers with status 200 to HTTP/1.1 callers, were visibly broken before.

--- a/bulrushrun/net/HttpResponder.cpp
+++ b/bulrushrun/net/HttpResponder.cpp
@@ -68,6 +68,9 @@
   mRequest->res.status = aHead.mStatus;
   mRequest->res.reason = "";
   mRequest->res.content_length = aHead.mLength ? *aHead.mLength : SIZE_MAX;
+  if (!aHead.mLength) {
+    setResetOnClose(true);
+  }
   for (const Header& header : aHead.mHeaders) {
     const h2o_iovec_t name = h2o_strdup(&mRequest->pool, header.mName.data(), header.mName.size());
     const h2o_iovec_t value =
@@ -137,6 +140,20 @@
          (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
 
+/// h2o sends some bodies without a length until the connection is closed. A reset tells the caller
+/// of such a body that it is truncated, also when this process ends.
+void HttpResponder::setResetOnClose(bool aReset)
+{
+  constexpr int kHttp2 = 0x200;
+  h2o_conn_t* connection = mRequest->conn;
+  if (mRequest->version >= kHttp2 || connection->callbacks->get_socket == nullptr) {
+    return;
+  }
+  const linger option{ aReset ? 1 : 0, 0 };
+  const int descriptor = h2o_socket_get_fd(connection->callbacks->get_socket(connection));
+  ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+}
+
 void HttpResponder::flush()
 {
   const bool nothingToSend = mPending.empty() && !mFinished && !mAborted;
@@ -149,6 +166,7 @@
   h2o_send_state_t state = H2O_SEND_STATE_IN_PROGRESS;
   if (mFinished) {
     state = H2O_SEND_STATE_FINAL;
+    setResetOnClose(false);
   } else if (mAborted) {
     state = H2O_SEND_STATE_ERROR;
   }
--- a/bulrushrun/net/HttpResponder.h
+++ b/bulrushrun/net/HttpResponder.h
@@ -61,6 +61,7 @@
   void proceed();
   void detach();
   void flush();
+  void setResetOnClose(bool aReset);
 
   h2o_req_t* mRequest = nullptr;
   Generator mGenerator{};
--- a/bulrushrun/steering/tests/CutAnswerProxyTest.cpp
+++ b/bulrushrun/steering/tests/CutAnswerProxyTest.cpp
@@ -130,5 +130,79 @@
   }
 }
 
+/// Answers above the buffer limit are passed on before they are complete.
+class StreamedAnswerTest : public CutAnswerProxyTest
+{
+protected:
+  static constexpr std::size_t kBodyBytes = std::size_t{ 400 } * 1024;
+  static constexpr std::size_t kStreamedBytes = std::size_t{ 300 } * 1024;
+
+  static SampleAnswer answer(const char* aName, int aStatus, const std::string& aFraming)
+  {
+    const std::string body(kBodyBytes, 'x');
+    const bool chunked = aFraming.starts_with("Transfer");
+    return { aName,
+             "HTTP/1.1 " + std::to_string(aStatus) +
+               " OK\r\nX-Request-Id: id-1\r\nX-Response-Signature: t1.id-1\r\n" + aFraming +
+               "\r\n" + (chunked ? "64000\r\n" + body + "\r\n0\r\n\r\n" : body),
+             body,
+             "GET",
+             aFraming.empty(),
+             aStatus };
+  }
+  static std::vector<SampleAnswer> answers()
+  {
+    std::vector<SampleAnswer> answers;
+    for (const int status : { 200, 201 }) {
+      answers.push_back(
+        answer("with a length", status, "Content-Length: " + std::to_string(kBodyBytes) + "\r\n"));
+      answers.push_back(answer("chunked", status, "Transfer-Encoding: chunked\r\n"));
+      answers.push_back(answer("without a length", status, ""));
+    }
+    return answers;
+  }
+  static std::vector<std::string> requests()
+  {
+    return { request("GET"),
+             request("GET", "HTTP/1.1", "Connection: close\r\n"),
+             request("GET", "HTTP/1.1", "Connection: Upgrade\r\nUpgrade: x\r\n"),
+             request("GET", "HTTP/1.0") };
+  }
+};
+
+/// Guards against a broken answer that looks whole to any kind of caller.
+TEST_F(StreamedAnswerTest, BrokenAnswerIsVisiblyBroken)
+{
+  for (const SampleAnswer& answer : answers()) {
+    for (const std::string& request : requests()) {
+      for (const Cut cut : { Cut::CloseAfterOneWrite, Cut::ResetAfterOneWrite }) {
+        const bool orderly = cut == Cut::CloseAfterOneWrite;
+        for (const std::size_t n : { kStreamedBytes, answer.mBytes.size() - 1 }) {
+          if (!answer.mEndsAtClose || !orderly) {
+            const RawCaller caller = call(answer.mBytes.substr(0, n), cut, request);
+            EXPECT_FALSE(caller.isSuccess() && caller.isWhole())
+              << answer.mStatus << " " << answer.mName << ", " << n << " bytes, to\n"
+              << request;
+          }
+        }
+      }
+    }
+  }
+}
+
+/// Guards against losing the end of a whole answer.
+TEST_F(StreamedAnswerTest, WholeAnswerArrivesWhole)
+{
+  for (const SampleAnswer& answer : answers()) {
+    for (const std::string& request : requests()) {
+      const RawCaller caller = call(answer.mBytes, Cut::CloseAfterOneWrite, request);
+      EXPECT_EQ(caller.status(), answer.mStatus) << answer.mName;
+      EXPECT_TRUE(caller.isWhole()) << answer.mStatus << " " << answer.mName << ", to\n" << request;
+      EXPECT_TRUE(caller.body() == answer.mBody) << caller.body().size() << " bytes";
+      letConnectionsClose();
+    }
+  }
+}
+
 } // namespace
 } // namespace bulrushrun
