Responder: a body without a length closes the connection of an HTTP/1.0 caller

What callers saw: an HTTP/1.0 caller that asks to keep its connection waits for the end of a streamed answer until the idle timeout; another answer on that connection would be read as a part of the body (ORDER). Cause: h2o keeps the connection as asked, although it sends HTTP/1.0 callers no chunks, so that only the end of the connection ends the body. Change: a response without a length to such a caller is the last one on its connection.

--- a/bulrushrun/net/HttpResponder.cpp
+++ b/bulrushrun/net/HttpResponder.cpp
@@ -12,6 +12,10 @@
 
 using ResponderReference = std::shared_ptr<HttpResponder>;
 
+/// Versions as h2o represents them.
+constexpr int kHttp11 = 0x101;
+constexpr int kHttp2 = 0x200;
+
 } // namespace
 
 std::shared_ptr<HttpResponder> HttpResponder::create(h2o_req_t* aRequest)
@@ -70,6 +74,10 @@
   mRequest->res.content_length = aHead.mLength ? *aHead.mLength : SIZE_MAX;
   if (!aHead.mLength) {
     setResetOnClose(true);
+    if (mRequest->version < kHttp11) {
+      // Only the end of the connection shows the end of the body.
+      mRequest->http1_is_persistent = 0;
+    }
   }
   for (const Header& header : aHead.mHeaders) {
     const h2o_iovec_t name = h2o_strdup(&mRequest->pool, header.mName.data(), header.mName.size());
@@ -144,7 +152,6 @@
 /// of such a body that it is truncated, also when this process ends.
 void HttpResponder::setResetOnClose(bool aReset)
 {
-  constexpr int kHttp2 = 0x200;
   h2o_conn_t* connection = mRequest->conn;
   if (mRequest->version >= kHttp2 || connection->callbacks->get_socket == nullptr) {
     return;
--- a/bulrushrun/steering/tests/CutAnswerProxyTest.cpp
+++ b/bulrushrun/steering/tests/CutAnswerProxyTest.cpp
@@ -166,7 +166,8 @@
     return { request("GET"),
              request("GET", "HTTP/1.1", "Connection: close\r\n"),
              request("GET", "HTTP/1.1", "Connection: Upgrade\r\nUpgrade: x\r\n"),
-             request("GET", "HTTP/1.0") };
+             request("GET", "HTTP/1.0"),
+             request("GET", "HTTP/1.0", "Connection: keep-alive\r\n") };
   }
 };
 
