Proxy: keep the length of an answer without a body

What callers saw: "Content-Length: 0" in every answer to HEAD and in every 204 and 304, whatever the target stated: a 200 to HEAD says that the body is empty. Cause: RequestProxy::onComplete passed on the size of the received body, which is always zero there. Evidence: CutAnswerProxyTest.LengthOfAnAnswerWithoutABodyIsKept failed before in its 7 cases, for example callerGets("HEAD", "200 OK", "Content-Length: 11") Which is: "other" (expected "11"). Change: such an answer bears the target's length, if any; a 204 bears none. The connection is kept in all cases.

--- a/bulrushrun/host/Http.cpp
+++ b/bulrushrun/host/Http.cpp
@@ -93,4 +93,11 @@
   return kept;
 }
 
+bool isStatusWithoutBody(int aStatus)
+{
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  return aStatus == kNoContent || aStatus == kNotModified;
+}
+
 } // namespace bulrushrun
--- a/bulrushrun/host/Http.h
+++ b/bulrushrun/host/Http.h
@@ -61,6 +61,9 @@
   bool mCloseAfter = false;
 };
 
+/// \brief \returns true for a response that ends after its head, even if that states a length.
+bool isStatusWithoutBody(int aStatus);
+
 /// \brief Response with its complete body.
 struct HttpResponse
 {
--- a/bulrushrun/net/HttpConnectionParsing.cpp
+++ b/bulrushrun/net/HttpConnectionParsing.cpp
@@ -18,12 +18,6 @@
 constexpr Duration kIdleTimeoutMargin = std::chrono::milliseconds(500);
 constexpr std::int64_t kMaxIdleTimeoutSeconds = 60;
 
-/// \returns true for a response that ends after its head, even if that states a length.
-bool isStatusWithoutBody(unsigned aStatus)
-{
-  return aStatus == 204 || aStatus == 304;
-}
-
 /// \returns true when the body has a transfer coding other than chunked, which would have to be
 /// decoded.
 bool hasUnsupportedTransferCoding(const Headers& aHeaders)
@@ -96,8 +90,10 @@
   constexpr int kContinue = 0;
   constexpr int kSkipBody = 1;
   constexpr int kFail = -1;
+  constexpr int kNoContent = 204;
   mReadingHeaderValue = false;
-  if (mParser.status_code < 200) {
+  const int status = static_cast<int>(mParser.status_code);
+  if (status < 200) {
     return kSkipBody;
   }
   if (hasMalformedName(mHead.mHeaders) || hasUnsupportedTransferCoding(mHead.mHeaders)) {
@@ -105,12 +101,12 @@
   }
   const bool chunked = (mParser.flags & F_CHUNKED) != 0;
   const bool hasLength = mParser.content_length != std::numeric_limits<std::uint64_t>::max();
-  const bool withoutBody = mHeadRequest || isStatusWithoutBody(mParser.status_code);
+  const bool withoutBody = mHeadRequest || isStatusWithoutBody(status);
   if (!chunked && !hasLength && !withoutBody && !mListener.mBodyMayEndAtClose) {
     return kFail;
   }
-  mHead.mStatus = static_cast<int>(mParser.status_code);
-  if (hasLength && !chunked) {
+  mHead.mStatus = status;
+  if (hasLength && !chunked && status != kNoContent) {
     mHead.mLength = mParser.content_length;
   }
   parseKeepAlive();
@@ -120,7 +116,7 @@
   if (mListener.mIsMatchingResponse && !mListener.mIsMatchingResponse(mHead)) {
     mSkippingBody = true;
     mSkippedResponse = true;
-    return isStatusWithoutBody(mParser.status_code) ? kSkipBody : kContinue;
+    return isStatusWithoutBody(status) ? kSkipBody : kContinue;
   }
   if (mListener.mOnHead) {
     mListener.mOnHead(mHead);
--- a/bulrushrun/steering/RequestProxyExchange.h
+++ b/bulrushrun/steering/RequestProxyExchange.h
@@ -250,7 +250,8 @@
   }
   if (!aRequest.mStreaming) {
     aRequest.mStateMachine.apply(RequestEvent::ResponseHeadReceived);
-    forwardHead(aRequest, attempt.mBody.size());
+    const bool withoutBody = aRequest.mRequest.mMethod == "HEAD" || isStatusWithoutBody(status);
+    forwardHead(aRequest, withoutBody ? attempt.mHead->mLength : attempt.mBody.size());
     aRequest.mResponder->write(attempt.mBody);
   }
   apply(id, RequestEvent::ResponseComplete);
--- a/bulrushrun/steering/tests/CutAnswerProxyTest.cpp
+++ b/bulrushrun/steering/tests/CutAnswerProxyTest.cpp
@@ -130,6 +130,29 @@
   }
 }
 
+/// Guards against a length that the target didn't state, where the length is not that of a body.
+TEST_F(CutAnswerProxyTest, LengthOfAnAnswerWithoutABodyIsKept)
+{
+  const std::string ids = "X-Request-Id: id-1\r\nX-Response-Signature: t1.id-1\r\n";
+  const auto callerGets = [&](const char* aMethod, const char* aStatus, const char* aLength) {
+    const std::string answer = std::string("HTTP/1.1 ") + aStatus + "\r\n" + ids + aLength + "\r\n";
+    const RawCaller caller = call(answer, Cut::CloseAfterOneWrite, request(aMethod));
+    letConnectionsClose();
+    EXPECT_TRUE(caller.has("connection: keep-alive\r\n")) << caller.bytes();
+    return caller.has("content-length: 11\r\n") ? "11"
+           : caller.has("content-length")       ? "other"
+                                                : "";
+  };
+  EXPECT_STREQ(callerGets("HEAD", "200 OK", "Content-Length: 11\r\n"), "11");
+  EXPECT_STREQ(callerGets("HEAD", "200 OK", "Transfer-Encoding: chunked\r\n"), "");
+  EXPECT_STREQ(callerGets("HEAD", "200 OK", ""), "");
+  EXPECT_STREQ(callerGets("GET", "304 Not Modified", "Content-Length: 11\r\n"), "11");
+  EXPECT_STREQ(callerGets("GET", "304 Not Modified", ""), "");
+  EXPECT_STREQ(callerGets("GET", "204 No Content", "Content-Length: 11\r\n"), "")
+    << "a 204 has no length";
+  EXPECT_STREQ(callerGets("GET", "204 No Content", ""), "");
+}
+
 /// Answers above the buffer limit are passed on before they are complete.
 class StreamedAnswerTest : public CutAnswerProxyTest
 {
