--- a/bulrushrun/net/tests/CutAnswerTest.cpp
+++ b/bulrushrun/net/tests/CutAnswerTest.cpp
@@ -19,7 +19,8 @@
   Received receive(const std::string& aBytes,
                    Cut aCut = Cut::CloseAfterOneWrite,
                    const std::string& aMethod = "GET",
-                   bool aMayEndAtClose = true)
+                   bool aMayEndAtClose = true,
+                   const std::string& aRequestBody = "")
   {
     mServer.setAnswer(aBytes, aCut);
     Received received;
@@ -36,7 +37,8 @@
         received.mResult = aResult;
         mLoop.stop();
       };
-      client.start(kPeer, { aMethod, "/", {}, {} }, ConnectionUse::Pooled, std::move(listener));
+      client.start(
+        kPeer, { aMethod, "/", {}, aRequestBody }, ConnectionUse::Pooled, std::move(listener));
       mLoop.run();
       destroyClosedConnections();
     }
@@ -96,6 +98,26 @@
   }
 }
 
+/// Guards against a part of an answer that overtakes the request: the server reads only the start
+/// of the request, so that its close resets the connection.
+TEST_F(CutAnswerTest, NoPrefixOfAnEarlyAnswerIsComplete)
+{
+  const std::string requestBody(std::size_t{ 1024 } * 1024, 'x');
+  constexpr std::size_t kStep = 9;
+  for (const SampleAnswer& answer : sampleAnswers()) {
+    const std::string method = answer.mMethod == std::string("HEAD") ? "HEAD" : "POST";
+    for (std::size_t missing = 0; missing <= answer.mBytes.size(); missing += kStep) {
+      const std::size_t n = answer.mBytes.size() - missing;
+      const Received received =
+        receive(answer.mBytes.substr(0, n), Cut::CloseAfterOneWrite, method, true, requestBody);
+      const bool mayBeComplete = missing == 0 && !answer.mEndsAtClose;
+      ASSERT_TRUE(mayBeComplete || *received.mResult == ExchangeResult::Interrupted)
+        << answer.mName << ", " << n << " bytes";
+      EXPECT_TRUE(*received.mResult != ExchangeResult::Complete || received.mBody == answer.mBody);
+    }
+  }
+}
+
 /// Guards against a digit of the length that is lost with the rest of the head.
 TEST_F(CutAnswerTest, ACutLengthIsNotUsed)
 {
