Soak: targets whose answers end early, mostly inside the head

The soak cut bodies only, because the stand-in's server can't cut a head. Change: while a target is faulty, the proxies in front of all targets end a tenth of the answers after up to 300 bytes and close the connection in an orderly way. The summary states the number of answers cut; signature and body of every success are checked as before.

--- a/soak/FaultProxy.cpp
+++ b/soak/FaultProxy.cpp
@@ -6,6 +6,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace bulrushrun::soak {
@@ -14,6 +15,7 @@
   : mLoop(aLoop)
   , mListen(aListen)
   , mUpstream(aDestination)
+  , mRandom((std::uint64_t{ aListen.mAddress } << 16U) | aListen.mPort)
 {
   listen();
 }
@@ -94,6 +96,9 @@
   if (connection.mBlackholed) {
     return;
   }
+  if (&source == &connection.mServerSide) {
+    connection.mOwner->cutAnswer(connection, bytes);
+  }
   connection.mOwner->forward(destination, std::move(bytes));
   if (aError != nullptr) {
     destination.mClosing = true;
@@ -102,6 +107,19 @@
   }
 }
 
+void FaultProxy::cutAnswer(Connection& aConnection, std::string& aBytes)
+{
+  /// About the length of a target's head.
+  constexpr std::size_t kHeadBytes = 300;
+  if (aBytes.empty() || !mRandom.chance(mCutProbability)) {
+    return;
+  }
+  ++mAnswersCut;
+  aBytes.resize(mRandom.below(std::min(aBytes.size(), kHeadBytes)));
+  aConnection.mClientSide.mClosing = true;
+  h2o_socket_read_stop(aConnection.mServerSide.mSocket);
+}
+
 void FaultProxy::forward(Side& aDestination, std::string aBytes)
 {
   if (mDelay == Duration{ 0 }) {
--- a/soak/FaultProxy.h
+++ b/soak/FaultProxy.h
@@ -11,8 +11,8 @@
 namespace bulrushrun::soak {
 
 /// \brief TCP proxy on the loopback interface that injects network faults in front of one address:
-/// delays, stalls in one or both directions, blackholed connections, resets and refused
-/// connections.
+/// delays, stalls in one or both directions, blackholed connections, resets, refused connections
+/// and answers that end early.
 class FaultProxy
 {
 public:
@@ -34,6 +34,11 @@
   void blackhole();
   /// \brief Resets all open connections.
   void reset();
+  /// \brief Ends answers early with this probability, mostly inside their heads, and closes their
+  /// connections in an orderly way.
+  void cutAnswers(double aProbability) { mCutProbability = aProbability; }
+  /// \brief \returns the number of answers that were ended early.
+  std::size_t answersCut() const { return mAnswersCut; }
   /// \brief Refuses new connections while set.
   void setRefusing(bool aRefuse);
 
@@ -75,6 +80,7 @@
   {
     return aDestination.mIsForward ? mStallForward : mStallBackward;
   }
+  void cutAnswer(Connection& aConnection, std::string& aBytes);
   void forward(Side& aDestination, std::string aBytes);
   void flush(Side& aDestination);
 
@@ -82,6 +88,9 @@
   Endpoint mListen;
   Endpoint mUpstream;
   h2o_socket_t* mListener = nullptr;
+  Random mRandom;
+  double mCutProbability = 0;
+  std::size_t mAnswersCut = 0;
   Duration mDelay{ 0 };
   bool mStallForward = false;
   bool mStallBackward = false;
--- a/soak/SoakFaults.cpp
+++ b/soak/SoakFaults.cpp
@@ -13,6 +13,8 @@
 /// A leaving target continues to serve for longer than the bound on new requests, which
 /// is SoakBounds::mDrain.
 constexpr Duration kLeavingDuration = std::chrono::seconds(5);
+/// Share of the answers that end early while a target is faulty.
+constexpr double kCutProbability = 0.1;
 
 } // namespace
 
@@ -185,6 +187,13 @@
   });
 }
 
+void SoakRun::cutAnswers(double aProbability)
+{
+  for (const Target& target : mTargets) {
+    target.mFaultProxy->cutAnswers(aProbability);
+  }
+}
+
 void SoakRun::injectTargetFault(Duration aDuration)
 {
   standins::RegisteredTarget& target = *mTargets[mRandom.below(mTargets.size())].mServer;
@@ -196,11 +205,15 @@
    : kind == 1 ? faults.mTruncationProbability
    : kind == 2 ? faults.mFailureProbability
                : faults.mShedProbability) = 0.4;
+  cutAnswers(kCutProbability);
   if (kind == 4) {
     faults = {};
     faults.mDelay = std::chrono::milliseconds(100 + mRandom.below(1500));
   }
-  mLoop.after(aDuration, [&target] { target.faults() = {}; });
+  mLoop.after(aDuration, [this, &target] {
+    target.faults() = {};
+    cutAnswers(0);
+  });
 }
 
 void SoakRun::injectCallerNetworkFault(std::size_t aNumber, Duration aDuration)
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -249,7 +249,12 @@
 
 std::string SoakRun::summary() const
 {
-  return mChecker.summary() + ", success share at the end " +
+  std::size_t answersCut = 0;
+  for (const Target& target : mTargets) {
+    answersCut += target.mFaultProxy->answersCut();
+  }
+  return mChecker.summary() + ", answers cut " + std::to_string(answersCut) +
+         ", success share at the end " +
          std::to_string(mChecker.successShareSince(mEndAt - kFinalWindow)) +
          ", stalls of the machine " + std::to_string(mStalls);
 }
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -90,6 +90,7 @@
   void denyStoreAccess(std::size_t aNumber, Duration aDuration);
   void injectTargetNetworkFault(Duration aDuration);
   void injectTargetFault(Duration aDuration);
+  void cutAnswers(double aProbability);
   void injectCallerNetworkFault(std::size_t aNumber, Duration aDuration);
   void drainTarget();
   void logFault(const std::string& aText);
