--- a/bulrushrun/net/HttpConnection.h
+++ b/bulrushrun/net/HttpConnection.h
@@ -75,7 +75,7 @@
   void parse();
   int onHeadComplete();
   int onInterimHead();
-  int skipResponse(bool aHasEnd);
+  int skipResponse(bool aStatesEnd, bool aHasNoBody);
   bool countSkipped();
   int failParsing(const char* aReason);
   void finishExchange();
--- a/bulrushrun/net/HttpConnectionParsing.cpp
+++ b/bulrushrun/net/HttpConnectionParsing.cpp
@@ -25,10 +25,31 @@
 constexpr int kMaxSkippedHeads = 8;
 constexpr std::size_t kMaxSkippedBytes = std::size_t{ 1024 } * 1024;
 constexpr unsigned kSwitchingProtocols = 101;
+constexpr int kNoContent = 204;
 
-bool isStatusWithoutBody(unsigned aStatus)
+/// \returns true when the body has a transfer coding other than chunked, which would have to be
+/// decoded.
+bool hasUnsupportedTransferCoding(const Headers& aHeaders)
 {
-  return aStatus == 204 || aStatus == 304;
+  int codings = 0;
+  bool chunked = true;
+  for (const Header& header : aHeaders) {
+    if (equalHeaderNames(header.mName, "transfer-encoding")) {
+      const std::size_t end = header.mValue.find_last_not_of(" \t") + 1;
+      chunked = equalHeaderNames(std::string_view{ header.mValue }.substr(0, end), "chunked");
+      ++codings;
+    }
+  }
+  return codings > 1 || !chunked;
+}
+
+/// \returns true when a name contains a space, which http-parser accepts: the next hop would read
+/// the header differently, or refuse the response.
+bool hasMalformedName(const Headers& aHeaders)
+{
+  return std::any_of(aHeaders.begin(), aHeaders.end(), [](const Header& aHeader) {
+    return aHeader.mName.find(' ') != std::string::npos;
+  });
 }
 
 } // namespace
@@ -76,17 +97,21 @@
 int HttpConnection::onHeadComplete()
 {
   mReadingHeaderValue = false;
-  if (mParser.status_code < 200) {
+  const int status = static_cast<int>(mParser.status_code);
+  if (status < 200) {
     return onInterimHead();
   }
+  if (hasMalformedName(mHead.mHeaders) || hasUnsupportedTransferCoding(mHead.mHeaders)) {
+    return kFail;
+  }
   const bool chunked = (mParser.flags & F_CHUNKED) != 0;
   const bool hasLength = mParser.content_length != std::numeric_limits<std::uint64_t>::max();
-  const bool withoutBody = mHeadRequest || isStatusWithoutBody(mParser.status_code);
+  const bool withoutBody = mHeadRequest || isStatusWithoutBody(status);
   if (!chunked && !hasLength && !withoutBody && !mListener.mBodyMayEndAtClose) {
     return kFail;
   }
-  mHead.mStatus = static_cast<int>(mParser.status_code);
-  if (hasLength && !chunked) {
+  mHead.mStatus = status;
+  if (hasLength && !chunked && status != kNoContent) {
     mHead.mLength = mParser.content_length;
   }
   parseKeepAlive();
@@ -94,7 +119,7 @@
   mHead.mHeaders = endToEndHeaders(mHead.mHeaders);
   mHead.mCloseAfter = closeAfter;
   if (mListener.mIsMatchingResponse && !mListener.mIsMatchingResponse(mHead)) {
-    return skipResponse(chunked || hasLength || isStatusWithoutBody(mParser.status_code));
+    return skipResponse(chunked || hasLength, isStatusWithoutBody(status));
   }
   if (mListener.mOnHead) {
     mListener.mOnHead(mHead);
@@ -102,7 +127,7 @@
   if (mSocket == nullptr) {
     return kFail;
   }
-  return mHeadRequest ? kSkipBody : kContinue;
+  return withoutBody ? kSkipBody : kContinue;
 }
 
 int HttpConnection::failParsing(const char* aReason)
@@ -121,19 +146,23 @@
   if (mParser.status_code == kSwitchingProtocols) {
     return failParsing("the server switched protocols without being asked");
   }
-  return countSkipped() ? kContinue : failParsing("too many interim responses");
+  return countSkipped() ? kSkipBody : failParsing("too many interim responses");
 }
 
 /// Skips a response to another request.
-/// \param aHasEnd  the response ends before the connection does
-int HttpConnection::skipResponse(bool aHasEnd)
+/// \param aStatesEnd  the head says where the body ends
+/// \param aHasNoBody  the status allows no body
+int HttpConnection::skipResponse(bool aStatesEnd, bool aHasNoBody)
 {
   mSkippingBody = true;
   mSkippedResponse = true;
-  if (!aHasEnd || mCarriedHeadRequest) {
+  if (!(aStatesEnd || aHasNoBody) || mCarriedHeadRequest) {
     return failParsing("a response to another request, whose end is unknown");
   }
-  return countSkipped() ? kContinue : failParsing("too many responses to other requests");
+  if (!countSkipped()) {
+    return failParsing("too many responses to other requests");
+  }
+  return aHasNoBody ? kSkipBody : kContinue;
 }
 
 int HttpConnection::onBody(http_parser* aParser, const char* aBytes, std::size_t aLength)
--- a/soak/FaultProxy.cpp
+++ b/soak/FaultProxy.cpp
@@ -16,6 +16,7 @@
   : mLoop(aLoop)
   , mListen(aListen)
   , mUpstream(aDestination)
+  , mRandom((std::uint64_t{ aListen.mAddress } << 16U) | aListen.mPort)
 {
   listen();
 }
@@ -97,6 +98,9 @@
     return;
   }
   connection.mOwner->repeatRefusal(connection, source, bytes);
+  if (&source == &connection.mServerSide) {
+    connection.mOwner->cutAnswer(connection, bytes);
+  }
   connection.mOwner->forward(destination, std::move(bytes));
   if (aError != nullptr) {
     destination.mClosing = true;
@@ -133,6 +137,19 @@
   forward(aConnection.mClientSide, std::move(refusal));
 }
 
+void FaultProxy::cutAnswer(Connection& aConnection, std::string& aBytes)
+{
+  /// About the length of a target's head.
+  constexpr std::size_t kHeadBytes = 300;
+  if (aBytes.empty() || !mRandom.chance(mCutProbability)) {
+    return;
+  }
+  ++mAnswersCut;
+  aBytes.resize(mRandom.below(std::min(aBytes.size(), kHeadBytes)));
+  aConnection.mClientSide.mClosing = true;
+  h2o_socket_read_stop(aConnection.mServerSide.mSocket);
+}
+
 void FaultProxy::forward(Side& aDestination, std::string aBytes)
 {
   if (mDelay == Duration{ 0 }) {
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -263,10 +263,13 @@
 std::string SoakRun::summary() const
 {
   std::size_t repeatedRefusals = 0;
+  std::size_t answersCut = 0;
   for (const Target& target : mTargets) {
     repeatedRefusals += target.mFaultProxy->repeatedRefusals();
+    answersCut += target.mFaultProxy->answersCut();
   }
-  return mChecker.summary() + ", success share at the end " +
+  return mChecker.summary() + ", answers cut " + std::to_string(answersCut) +
+         ", success share at the end " +
          std::to_string(mChecker.successShareSince(mEndAt - kFinalWindow)) +
          ", repeated refusals " + std::to_string(repeatedRefusals) + ", stalls of the machine " +
          std::to_string(mStalls);
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -97,6 +97,7 @@
   void injectTargetNetworkFault(Duration aDuration);
   void injectTargetFault(Duration aDuration);
   void injectRepeatedRefusals(Duration aDuration);
+  void cutAnswers(double aProbability);
   void injectCallerNetworkFault(std::size_t aNumber, Duration aDuration);
   void drainTarget();
   void logFault(const std::string& aText);
