Targets that say in an answer that they leave get no more requests

A target that leaves sends Server-Leaving: 1 with all its answers. Nothing read it: until the 'draining' row arrived, and for good while the store could not be reached, callers' requests went on to the target and failed when it exited.

The adapter decodes the header, and the target table records the incarnation as leaving for good: a later 'ready' row, or a row that was removed and written again, does not undo it; a new incarnation is used. The incarnation is the one known when the attempt started, so a late answer of an earlier process marks nothing of the new one; the same now holds for 421 and for the cold time in an answer, which had the same fault. Answers with errors and declined requests count; 421 (another target speaks) and a success without a signature do not. Retries, placements and further requests go elsewhere, because the table no longer lists the target as usable. The row 'draining' is recorded likewise.

Other instances learn of it by gossip: a notice with target, incarnation and age in the field that exists for notices, 16 a message in turn, 256 kept, for 30 s. Messages of the earlier version are decoded, and the other way round.

Callers do not get the header.

One in a trailer is not read, as before. Kept idle connections are not closed: the host interface offers no call for that; they close when the target closes them, or at their idle timeout. Health answers are not covered: the steering instance sends no health checks.

Ruled out: the age as a wall-clock time, which would need synchronised clocks.

--- a/bulrushrun/discovery/TargetTable.cpp
+++ b/bulrushrun/discovery/TargetTable.cpp
@@ -1,5 +1,7 @@
 #include "bulrushrun/discovery/TargetTable.h"
 
+#include <utility>
+
 namespace bulrushrun {
 
 TargetTable::Change TargetTable::update(const TargetEntry& aEntry, TimePoint aNow)
@@ -29,8 +31,12 @@
     }
   }
   target.mEntry = aEntry;
+  if (aEntry.mDraining) {
+    mLeaving.add(aEntry.mId, aEntry.mIncarnation);
+  }
   // A target that announced that it is leaving does not return in the same incarnation.
-  target.mEntry.mDraining = aEntry.mDraining || wasDraining;
+  target.mEntry.mDraining =
+    aEntry.mDraining || wasDraining || mLeaving.contains(aEntry.mId, aEntry.mIncarnation);
   target.mHash = hashText(aEntry.mId.text());
   target.mVanishedAt.reset();
   target.mReplaced = target.mReplaced && !addressChanged;
@@ -77,6 +83,18 @@
   return true;
 }
 
+bool TargetTable::setLeaving(const TargetId& aId, Incarnation aIncarnation)
+{
+  const bool recorded = mLeaving.add(aId, aIncarnation);
+  const auto found = mTargets.find(aId);
+  const bool isRegistered =
+    found != mTargets.end() && found->second.mEntry.mIncarnation == aIncarnation;
+  if (!isRegistered) {
+    return recorded;
+  }
+  return !std::exchange(found->second.mEntry.mDraining, true);
+}
+
 void TargetTable::setReplaced(const TargetId& aId)
 {
   const auto found = mTargets.find(aId);
--- a/bulrushrun/discovery/TargetTable.h
+++ b/bulrushrun/discovery/TargetTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bulrushrun/discovery/LeavingIncarnations.h"
 #include "bulrushrun/discovery/TargetEntry.h"
 
 #include <map>
@@ -57,6 +58,9 @@
   /// \brief Records that a registration was removed. \returns false when the target is unknown or
   /// already vanished
   bool remove(const TargetId& aId, TimePoint aNow);
+  /// \brief Records that a target said that it is leaving; it does not return in that incarnation,
+  /// whatever its registration says. \returns false when this was known
+  bool setLeaving(const TargetId& aId, Incarnation aIncarnation);
   /// \brief Records that another target responded at the address of this one.
   void setReplaced(const TargetId& aId);
   /// \brief Extends the cold phase of a target, which reported how long it stays cold.
@@ -91,6 +95,7 @@
   std::map<TargetId, KnownTarget> mTargets;
   std::map<ServiceName, std::set<TargetId>> mByService;
   std::map<TargetId, PastIncarnation> mPastIncarnations;
+  LeavingIncarnations mLeaving;
   bool mComplete = false;
 };
 
--- a/bulrushrun/health/LeavingTargets.h
+++ b/bulrushrun/health/LeavingTargets.h
@@ -14,6 +14,10 @@
 {
   TargetId mTarget;
   UnixSeconds mSeen{ 0 };
+  /// Start of the target that is leaving; empty when the source does not tell.
+  Incarnation mIncarnation = {};
+  /// Time since the target itself said so; independent of the instances' clocks.
+  Duration mAge{ 0 };
 };
 
 /// \brief Targets that are leaving according to any source: the platform's list, their health
--- a/bulrushrun/host/EventCatalogue.h
+++ b/bulrushrun/host/EventCatalogue.h
@@ -46,6 +46,7 @@
 inline constexpr Event kPlacementsLoaded{ 5011, Severity::Info, "placements-loaded" };
 inline constexpr Event kPlacementsNotSaved{ 5012, Severity::Warn, "placements-not-saved" };
 inline constexpr Event kPlacementsNotLoaded{ 5013, Severity::Info, "placements-not-loaded" };
+inline constexpr Event kTargetHeaderIgnored{ 5014, Severity::Warn, "target-header-ignored" };
 inline constexpr Event kMemberJoined{ 6001, Severity::Info, "member-joined" };
 inline constexpr Event kMemberSuspected{ 6002, Severity::Debug, "member-suspected" };
 inline constexpr Event kMemberDead{ 6003, Severity::Warn, "member-dead" };
@@ -71,7 +72,7 @@
   kFeedRegained,         kTargetAdded,          kTargetVanished,       kTargetEntryRefused,
   kTargetReplaced,       kRequestEnded,         kRequestRefused,       kSendFailed,
   kLookupRefused,        kTargetZoneUnknown,    kObjectPlaced,         kPlacementsUnreadable,
-  kPlacementsLoaded,     kPlacementsNotSaved,   kPlacementsNotLoaded
+  kPlacementsLoaded,     kPlacementsNotSaved,   kPlacementsNotLoaded,  kTargetHeaderIgnored
 };
 
 } // namespace bulrushrun::events
--- a/bulrushrun/membership/GossipMessage.cpp
+++ b/bulrushrun/membership/GossipMessage.cpp
@@ -2,6 +2,7 @@
 
 #include "bulrushrun/core/MessagePack.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace bulrushrun {
@@ -11,7 +12,8 @@
 using WireEndpoint = std::tuple<std::uint32_t, std::uint16_t>;
 using WireMember = std::
   tuple<std::string, std::string, WireEndpoint, WireEndpoint, std::uint64_t, int, std::uint64_t>;
-using WireNotice = std::tuple<std::string, std::int64_t>;
+/// Target, time, incarnation and age in milliseconds. Earlier versions send and read the first two.
+using WireNotice = std::tuple<std::string, std::int64_t, std::uint64_t, std::int64_t>;
 using WireMessage = std::tuple<int,
                                std::uint64_t,
                                WireMember,
@@ -80,8 +82,14 @@
     message.mUpdates.push_back(*member);
   }
   for (const WireNotice& notice : notices) {
+    const auto& [target, seen, incarnation, age] = notice;
+    // Longer ages would overflow; a notice expires much earlier.
+    constexpr std::int64_t kMaxAge = 1'000'000'000;
     message.mNotices.push_back(
-      { TargetId{ std::get<0>(notice) }, UnixSeconds{ std::get<1>(notice) } });
+      { TargetId{ target },
+        UnixSeconds{ seen },
+        Incarnation{ incarnation },
+        std::chrono::milliseconds(std::clamp<std::int64_t>(age, -1, kMaxAge)) });
   }
   return message;
 }
@@ -97,7 +105,10 @@
   }
   std::vector<WireNotice> notices;
   for (const LeavingNotice& notice : aMessage.mNotices) {
-    notices.emplace_back(notice.mTarget.text(), notice.mSeen.count());
+    notices.emplace_back(notice.mTarget.text(),
+                         notice.mSeen.count(),
+                         notice.mIncarnation.value(),
+                         toMillis(notice.mAge));
   }
   const WireMessage wire{ static_cast<int>(aMessage.mKind),
                           aMessage.mSequenceNumber,
--- a/bulrushrun/steering/MessageMetadata.h
+++ b/bulrushrun/steering/MessageMetadata.h
@@ -34,9 +34,13 @@
   bool mEncoded = false;
   /// The target closes the connection after this response.
   bool mClosing = false;
+  /// The target is leaving and wants no new requests.
+  bool mLeaving = false;
   std::optional<LoadReport> mLoad;
   /// How long the target stays cold.
   std::optional<Duration> mColdRemaining;
+  /// Which headers were ignored as invalid, and why, for the log; empty when none were.
+  std::string mIgnored;
 };
 
 /// \brief Lookup by a caller of the instances to use.
--- a/bulrushrun/steering/ProxiedRequest.h
+++ b/bulrushrun/steering/ProxiedRequest.h
@@ -16,6 +16,8 @@
 {
   ExchangeId mExchange;
   TargetId mTarget;
+  /// Incarnation of the target when the attempt started.
+  Incarnation mIncarnation;
   TimePoint mStarted;
   /// The response head, buffered until the body is complete or exceeds the buffer.
   std::optional<ResponseHead> mHead;
--- a/bulrushrun/steering/RequestProxy.h
+++ b/bulrushrun/steering/RequestProxy.h
@@ -54,8 +54,8 @@
 /// instances. The RequestStateMachine decides what may be done with a request, the TargetPicker
 /// where it is sent.
 ///
-/// \tparam Codec  header codec with parseRequestMetadata, parseResponseMetadata and
-/// setForwardingHeaders
+/// \tparam Codec  header codec with parseRequestMetadata, parseResponseMetadata,
+/// removeTargetHeaders and setForwardingHeaders
 template<class HostType, class Codec>
 class RequestProxy
 {
@@ -78,9 +78,9 @@
   std::size_t requestsInProgress() const { return mRequests.size(); }
   const RequestProxyCounters& counters() const { return mCounters; }
   const ServiceMetrics& metrics() const { return mMetrics; }
-  /// \brief Sets the callback for responses that show that a target is draining, was replaced or
-  /// is cold.
-  void setOnTargetUpdate(std::function<void(const TargetId&, const ResponseMetadata&)> aOnUpdate)
+  /// \brief Sets the callback for responses that show that a target is leaving, was replaced or is
+  /// cold.
+  void setOnTargetUpdate(std::function<void(const TargetAttempt&)> aOnUpdate)
   {
     mOnTargetUpdate = std::move(aOnUpdate);
   }
@@ -151,6 +151,7 @@
   void startAttempt(Request& aRequest, const PickResult& aPick);
   ExchangeListener listener(RequestId aId);
   void onHead(RequestId aId, const ResponseHead& aHead);
+  void reportTargetUpdate(TargetAttempt& aAttempt);
   bool onBody(RequestId aId, std::string_view aBytes);
   void onEnd(RequestId aId, ExchangeResult aEnd, const std::string& aReason);
   void onComplete(Request& aRequest);
@@ -177,7 +178,7 @@
   std::map<ServiceName, RetryBudgetShare> mRetryBudgets;
   std::map<ServiceName, Duration> mLatencies;
   std::map<std::string, WeightedRoundRobin> mServiceSplits;
-  std::function<void(const TargetId&, const ResponseMetadata&)> mOnTargetUpdate;
+  std::function<void(const TargetAttempt&)> mOnTargetUpdate;
   std::function<void(const Placement&)> mOnPlaced;
   std::function<void(const TargetId&, const LoadReport&)> mOnLoadReport;
   RequestProxyCounters mCounters;
@@ -193,3 +194,5 @@
 #include "bulrushrun/steering/RequestProxyActions.h"
 // Attempts at targets.
 #include "bulrushrun/steering/RequestProxyExchange.h"
+// What responses tell about the targets.
+#include "bulrushrun/steering/RequestProxyTargetUpdates.h"
--- a/bulrushrun/steering/RequestProxyExchange.h
+++ b/bulrushrun/steering/RequestProxyExchange.h
@@ -34,6 +34,7 @@
   aRequest.mTriedTargets.insert(target.mId);
   aRequest.mAttempt = TargetAttempt{};
   aRequest.mAttempt->mTarget = target.mId;
+  aRequest.mAttempt->mIncarnation = target.mIncarnation;
   aRequest.mAttempt->mStarted = now;
   aRequest.mStateMachine.apply(RequestEvent::Dispatched);
   mPicker.stats(target.mId).onAttemptStarted(now);
@@ -108,11 +109,7 @@
       mOnLoadReport(attempt.mTarget, *attempt.mMetadata.mLoad);
     }
   }
-  const bool hasTargetUpdate = attempt.mMetadata.mMisdirected || attempt.mMetadata.mClosing ||
-                               attempt.mMetadata.mColdRemaining;
-  if (hasTargetUpdate && mOnTargetUpdate) {
-    mOnTargetUpdate(attempt.mTarget, attempt.mMetadata);
-  }
+  reportTargetUpdate(attempt);
 }
 
 template<class HostType, class Codec>
@@ -139,6 +136,7 @@
                                                 std::optional<std::uint64_t> aLength)
 {
   ResponseHead head = *aRequest.mAttempt->mHead;
+  Codec::removeTargetHeaders(head.mHeaders);
   head.mLength = aLength;
   head.mCloseAfter = mSteeringState.mDraining;
   aRequest.mResponder->start(head);
--- a/bulrushrun/steering/SteeringInstance.h
+++ b/bulrushrun/steering/SteeringInstance.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bulrushrun/drain.h"
+#include "bulrushrun/health/LeavingNoticeQueue.h"
 #include "bulrushrun/host.h"
 #include "bulrushrun/membership.h"
 #include "bulrushrun/placement.h"
@@ -139,7 +140,8 @@
   PeerChanges makePeerChanges(const ReplicationProgress& aProgress) const;
   void applyPeerChanges(const PeerChanges& aChanges);
   std::optional<Endpoint> chooseReplicationPeer(bool aLastPeerFailed);
-  void onTargetUpdate(const TargetId& aTarget, const ResponseMetadata& aMetadata);
+  void onTargetUpdate(const TargetAttempt& aAttempt);
+  void onLeavingNotice(const LeavingNotice& aNotice);
 
   // Membership.
   void registerSelf();
@@ -185,6 +187,7 @@
   TimePoint mRegisteredAt;
   std::uint64_t mRegistrationCalls = 0;
   std::set<std::string> mReportedInvalidEntries;
+  LeavingNoticeQueue mLeavingNotices;
   std::function<void(const CallerLimits&)> mOnLimits;
   std::function<void()> mOnAcceptingEnded;
   std::function<std::size_t()> mOpenResponseCount;
--- a/bulrushrun/steering/SteeringInstanceMembership.h
+++ b/bulrushrun/steering/SteeringInstanceMembership.h
@@ -12,8 +12,8 @@
 {
   return { [this] { updateMembership(); },
            [](ConfigurationVersion, const Member&) {},
-           [](const LeavingNotice&) {},
-           [] { return std::vector<LeavingNotice>{}; },
+           [this](const LeavingNotice& aNotice) { onLeavingNotice(aNotice); },
+           [this] { return mLeavingNotices.next(mHost.now()); },
            [this](std::string_view aPayload) {
              return mPlacementAnnouncer.receive(aPayload) || mLoadReports.receive(aPayload);
            } };
--- a/bulrushrun/steering/SteeringInstanceRows.h
+++ b/bulrushrun/steering/SteeringInstanceRows.h
@@ -105,17 +105,50 @@
   }
 }
 
+/// A response concerns the incarnation at which the attempt started; the target may have started
+/// again since.
 template<class HostType, class Adapter>
-void SteeringInstance<HostType, Adapter>::onTargetUpdate(const TargetId& aTarget,
-                                                         const ResponseMetadata& aMetadata)
+void SteeringInstance<HostType, Adapter>::onTargetUpdate(const TargetAttempt& aAttempt)
 {
-  if (aMetadata.mMisdirected) {
-    mSteeringState.mTargets.setReplaced(aTarget);
-    mHost.log(events::kTargetReplaced, "target=" + aTarget.text());
+  const TargetId& id = aAttempt.mTarget;
+  TargetTable& targets = mSteeringState.mTargets;
+  if (aAttempt.mMetadata.mLeaving && targets.setLeaving(id, aAttempt.mIncarnation)) {
+    mHost.log(events::kTargetLeaving,
+              "target=" + id.text() +
+                " source=response incarnation=" + std::to_string(aAttempt.mIncarnation.value()));
+    if (aAttempt.mIncarnation != Incarnation{}) {
+      mLeavingNotices.add(id, aAttempt.mIncarnation, mHost.now());
+      if (mGossip) {
+        mGossip->disseminate();
+      }
+    }
+  }
+  const KnownTarget* target = targets.find(id);
+  if (target == nullptr || target->mEntry.mIncarnation != aAttempt.mIncarnation) {
+    return;
+  }
+  if (aAttempt.mMetadata.mMisdirected) {
+    targets.setReplaced(id);
+    mHost.log(events::kTargetReplaced, "target=" + id.text());
+  }
+  if (aAttempt.mMetadata.mColdRemaining) {
+    targets.setCold(id, mHost.now() + *aAttempt.mMetadata.mColdRemaining);
   }
-  if (aMetadata.mColdRemaining) {
-    mSteeringState.mTargets.setCold(aTarget, mHost.now() + *aMetadata.mColdRemaining);
+}
+
+/// Notices of targets that are not registered count, too: their row may arrive later.
+template<class HostType, class Adapter>
+void SteeringInstance<HostType, Adapter>::onLeavingNotice(const LeavingNotice& aNotice)
+{
+  if (!LeavingNoticeQueue::isAcceptable(aNotice) ||
+      !mSteeringState.mTargets.setLeaving(aNotice.mTarget, aNotice.mIncarnation)) {
+    return;
   }
+  mHost.log(events::kTargetLeaving,
+            "target=" + aNotice.mTarget.text() +
+              " source=peer incarnation=" + std::to_string(aNotice.mIncarnation.value()) +
+              " age_ms=" + std::to_string(toMillis(aNotice.mAge)));
+  mLeavingNotices.add(aNotice.mTarget, aNotice.mIncarnation, mHost.now() - aNotice.mAge);
 }
 
 } // namespace bulrushrun
--- a/bulrushrun/steering/SteeringInstanceTables.h
+++ b/bulrushrun/steering/SteeringInstanceTables.h
@@ -68,9 +68,7 @@
 {
   mSteeringState.mContext.mZones = ZoneTopology{ mSettings.mZone, mSettings.mRegions };
   setBounds(mSettings.mBounds);
-  mProxy.setOnTargetUpdate([this](const TargetId& aTarget, const ResponseMetadata& aMetadata) {
-    onTargetUpdate(aTarget, aMetadata);
-  });
+  mProxy.setOnTargetUpdate([this](const TargetAttempt& aAttempt) { onTargetUpdate(aAttempt); });
   mProxy.setOnLoadReport([this](const TargetId& aTarget, const LoadReport& aReport) {
     mLoadReports.onReport(aTarget, aReport);
   });
--- a/bulrushrun/steering/tests/FleetSimulation.cpp
+++ b/bulrushrun/steering/tests/FleetSimulation.cpp
@@ -200,16 +200,17 @@
                                 const std::string& aState,
                                 int aSlots,
                                 int aColdMillis,
-                                const std::string& aZone)
+                                const std::string& aZone,
+                                int aBorn)
 {
   if (!mTargets.contains(aId)) {
     mTargets[aId] = { 0x0a800000 + static_cast<std::uint32_t>(mTargets.size()), kTargetPort };
   }
   mStore.put("servers",
              aId,
-             R"({"address":")" + mTargets[aId].text() +
-               R"(","born":1,"info":{"service":"s","version":"v1","zone":")" + aZone +
-               R"(","slots":)" + std::to_string(aSlots) + R"(},"status":{"state":")" + aState +
+             R"({"address":")" + mTargets[aId].text() + R"(","born":)" + std::to_string(aBorn) +
+               R"(,"info":{"service":"s","version":"v1","zone":")" + aZone + R"(","slots":)" +
+               std::to_string(aSlots) + R"(},"status":{"state":")" + aState +
                R"(","sequence":1,"coldRemainingMs":)" + std::to_string(aColdMillis) + "}}");
 }
 
--- a/bulrushrun/steering/tests/FleetSimulation.h
+++ b/bulrushrun/steering/tests/FleetSimulation.h
@@ -115,7 +115,10 @@
                  const std::string& aState = "ready",
                  int aSlots = 4,
                  int aColdMillis = 0,
-                 const std::string& aZone = "za");
+                 const std::string& aZone = "za",
+                 int aBorn = 1);
+  /// \brief Removes the registration of a target.
+  void removeTarget(const std::string& aId) { mStore.remove("servers", aId); }
   /// \brief Writes a configuration with one route, `/a/` of host `shop`, to service `s`.
   void putPlan(int aVersion, const std::string& aKind, const std::string& aExtra = "");
   /// \brief Sends a caller's request to an instance.
