Targets that ask for rest get no requests until it ends

A target may turn a request away with 503 and Retry-After: it wants nothing from this instance for so long. The instance retried elsewhere but sent the next request for the same object to the same target at once, and when every target did this, callers were told to come back within 1.5 s at most, too early.

The statistics of the target keep the end of the rest; it starts with the head of the answer, a shorter later one has no effect, and it outlives the row of the target. The picker leaves resting targets out before anything else is weighed, so that affinity, placements, local replicas, probation, the limit on avoided targets and the last resort of vanished targets cannot bring them in; a resting target keeps its objects. When all targets that may serve a request rest, it is refused at once, and its Retry-After is the earliest end plus the usual delay with jitter. Requests in progress at the target go on. The end is up to a tenth of the time later, at random, never earlier.

An answer of an earlier incarnation starts no rest.

Ruled out: treating the rest as an ejection, which the limit on avoided targets may override and which ends in a probation that the target did not ask for.

--- a/bulrushrun/host/EventCatalogue.h
+++ b/bulrushrun/host/EventCatalogue.h
@@ -47,6 +47,7 @@
 inline constexpr Event kPlacementsNotSaved{ 5012, Severity::Warn, "placements-not-saved" };
 inline constexpr Event kPlacementsNotLoaded{ 5013, Severity::Info, "placements-not-loaded" };
 inline constexpr Event kTargetHeaderIgnored{ 5014, Severity::Warn, "target-header-ignored" };
+inline constexpr Event kTargetResting{ 5015, Severity::Info, "target-resting" };
 inline constexpr Event kMemberJoined{ 6001, Severity::Info, "member-joined" };
 inline constexpr Event kMemberSuspected{ 6002, Severity::Debug, "member-suspected" };
 inline constexpr Event kMemberDead{ 6003, Severity::Warn, "member-dead" };
@@ -72,7 +73,8 @@
   kFeedRegained,         kTargetAdded,          kTargetVanished,       kTargetEntryRefused,
   kTargetReplaced,       kRequestEnded,         kRequestRefused,       kSendFailed,
   kLookupRefused,        kTargetZoneUnknown,    kObjectPlaced,         kPlacementsUnreadable,
-  kPlacementsLoaded,     kPlacementsNotSaved,   kPlacementsNotLoaded,  kTargetHeaderIgnored
+  kPlacementsLoaded,     kPlacementsNotSaved,   kPlacementsNotLoaded,  kTargetHeaderIgnored,
+  kTargetResting
 };
 
 } // namespace bulrushrun::events
--- a/bulrushrun/steering/MessageMetadata.h
+++ b/bulrushrun/steering/MessageMetadata.h
@@ -39,6 +39,8 @@
   std::optional<LoadReport> mLoad;
   /// How long the target stays cold.
   std::optional<Duration> mColdRemaining;
+  /// For how long the target, which turned the request away, wants no requests.
+  std::optional<Duration> mRestTime;
   /// Which headers were ignored as invalid, and why, for the log; empty when none were.
   std::string mIgnored;
 };
--- a/bulrushrun/steering/RequestProxy.h
+++ b/bulrushrun/steering/RequestProxy.h
@@ -123,6 +123,9 @@
   static constexpr int kUnresponsiveLatencyFactor = 4;
   static constexpr int kUnresponsiveTargetFactor = 2;
   static constexpr Duration kMinUnresponsiveAfter = std::chrono::milliseconds(800);
+  /// The rest of a target is prolonged by a random part of up to this fraction, so that the
+  /// instances that it turned away do not return together.
+  static constexpr double kMaxRestSpread = 0.1;
   /// Time that must remain for a retry, as a fraction of the smoothed latency.
   static constexpr double kMinRetryTimeShare = 0.5;
 
@@ -152,6 +155,7 @@
   ExchangeListener listener(RequestId aId);
   void onHead(RequestId aId, const ResponseHead& aHead);
   void reportTargetUpdate(TargetAttempt& aAttempt);
+  void startRest(const TargetAttempt& aAttempt);
   bool onBody(RequestId aId, std::string_view aBytes);
   void onEnd(RequestId aId, ExchangeResult aEnd, const std::string& aReason);
   void onComplete(Request& aRequest);
--- a/bulrushrun/steering/RequestProxyActions.h
+++ b/bulrushrun/steering/RequestProxyActions.h
@@ -97,8 +97,7 @@
   }
   if (pick.mTarget == nullptr) {
     if (aRequest.mReason.empty()) {
-      aRequest.mReason =
-        pick.mFailure == PickFailure::AllBusy ? "all targets are busy or cold" : "no usable target";
+      aRequest.mReason = describe(pick.mFailure);
     }
     apply(aRequest.mId, RequestEvent::Refused);
     return;
@@ -171,7 +170,17 @@
 {
   const Duration latency = std::max(smoothedLatency(aRequest.mService), kMinRetryAfter);
   const double jitter = 0.5 + mHost.random().unit();
-  const Duration delay = std::min(fromSeconds(toSeconds(latency) * jitter), kMaxRetryAfter);
+  Duration delay = std::min(fromSeconds(toSeconds(latency) * jitter), kMaxRetryAfter);
+  const TimePoint now = mHost.now();
+  // While all targets rest, an earlier return would be refused, too.
+  const std::optional<TimePoint> endOfRest =
+    mPicker.earliestEndOfRest(makePickQuery(aRequest),
+                              mSteeringState.mTargets.usable(aRequest.mService, now),
+                              mSteeringState.mContext,
+                              now);
+  if (endOfRest) {
+    delay += *endOfRest - now;
+  }
   std::array<char, 16> text{};
   std::snprintf(text.data(), text.size(), "%.3f", toSeconds(delay));
   return text.data();
--- a/bulrushrun/steering/RequestProxyAdmission.h
+++ b/bulrushrun/steering/RequestProxyAdmission.h
@@ -135,7 +135,7 @@
   for (const RequestId id : disconnected) {
     onCallerDisconnected(id);
   }
-  mPicker.forgetUnknown(mSteeringState.mTargets);
+  mPicker.forgetUnknown(mSteeringState.mTargets, mHost.now());
 }
 
 template<class HostType, class Codec>
--- a/bulrushrun/steering/RequestProxyTargetUpdates.h
+++ b/bulrushrun/steering/RequestProxyTargetUpdates.h
@@ -21,6 +21,26 @@
   if (mOnTargetUpdate && (metadata.mMisdirected || metadata.mLeaving || metadata.mColdRemaining)) {
     mOnTargetUpdate(aAttempt);
   }
+  if (metadata.mRestTime) {
+    startRest(aAttempt);
+  }
+}
+
+/// The rest begins with the head of the response. One that an earlier incarnation asked for says
+/// nothing about the target that runs now.
+template<class HostType, class Codec>
+void RequestProxy<HostType, Codec>::startRest(const TargetAttempt& aAttempt)
+{
+  const KnownTarget* target = mSteeringState.mTargets.find(aAttempt.mTarget);
+  if (target != nullptr && target->mEntry.mIncarnation != aAttempt.mIncarnation) {
+    return;
+  }
+  const double spread = 1 + kMaxRestSpread * mHost.random().unit();
+  const Duration rest = std::max(*aAttempt.mMetadata.mRestTime,
+                                 fromSeconds(toSeconds(*aAttempt.mMetadata.mRestTime) * spread));
+  mPicker.stats(aAttempt.mTarget).restUntil(mHost.now() + rest);
+  mHost.log(events::kTargetResting,
+            "target=" + aAttempt.mTarget.text() + " for_ms=" + std::to_string(toMillis(rest)));
 }
 
 } // namespace bulrushrun
--- a/bulrushrun/steering/TargetPicker.cpp
+++ b/bulrushrun/steering/TargetPicker.cpp
@@ -15,6 +15,13 @@
   return regions.empty() || std::find(regions.begin(), regions.end(), aRegion) != regions.end();
 }
 
+bool mayServe(const KnownTarget& aTarget, const PickQuery& aQuery, const PickContext& aContext)
+{
+  const ZoneName& zone = aTarget.mEntry.mZone;
+  return !aContext.mEvacuated.contains(zone) &&
+         isInHomeRegion(aQuery, aContext.mZones.regionOf(zone));
+}
+
 } // namespace
 
 std::vector<TargetPicker::Candidate> TargetPicker::candidates(
@@ -28,11 +35,14 @@
   const double ownRegionWeight = static_cast<double>(aContext.mZones.regionCount());
   for (const KnownTarget* target : aUsable) {
     const TargetEntry& entry = target->mEntry;
-    if (aContext.mEvacuated.contains(entry.mZone) || aQuery.mTriedTargets.contains(entry.mId) ||
-        !isInHomeRegion(aQuery, aContext.mZones.regionOf(entry.mZone))) {
+    if (aQuery.mTriedTargets.contains(entry.mId) || !mayServe(*target, aQuery, aContext)) {
       continue;
     }
     const TargetStats& stats = mStats[entry.mId];
+    // Resting targets are no candidates at all, so that the limit on avoided ones keeps them out.
+    if (stats.isResting(aNow)) {
+      continue;
+    }
     Candidate candidate;
     candidate.mTarget = target;
     candidate.mLoad = stats.load(aNow);
@@ -137,7 +147,8 @@
   const std::vector<Candidate>& order = preference.mCandidates;
   result.mUsable = order.size();
   if (order.empty()) {
-    result.mFailure = PickFailure::NoTarget;
+    result.mFailure = earliestEndOfRest(aQuery, aUsable, aContext, aNow) ? PickFailure::AllResting
+                                                                         : PickFailure::NoTarget;
     return result;
   }
   const std::array<SelectionPass, 5> passes{
@@ -166,10 +177,31 @@
   return result;
 }
 
-void TargetPicker::forgetUnknown(const TargetTable& aTable)
+std::optional<TimePoint> TargetPicker::earliestEndOfRest(
+  const PickQuery& aQuery,
+  const std::vector<const KnownTarget*>& aUsable,
+  const PickContext& aContext,
+  TimePoint aNow)
+{
+  std::optional<TimePoint> earliest;
+  for (const KnownTarget* target : aUsable) {
+    if (!mayServe(*target, aQuery, aContext)) {
+      continue;
+    }
+    const TargetStats& stats = mStats[target->mEntry.mId];
+    if (!stats.isResting(aNow)) {
+      return std::nullopt;
+    }
+    earliest = std::min(earliest.value_or(stats.restsUntil()), stats.restsUntil());
+  }
+  return earliest;
+}
+
+void TargetPicker::forgetUnknown(const TargetTable& aTable, TimePoint aNow)
 {
   std::erase_if(mStats, [&](const std::pair<const TargetId, TargetStats>& aEntry) {
-    const bool unknown = aTable.find(aEntry.first) == nullptr && aEntry.second.inFlight() == 0;
+    const bool unknown = aTable.find(aEntry.first) == nullptr && aEntry.second.inFlight() == 0 &&
+                         !aEntry.second.isResting(aNow);
     if (unknown) {
       mColdRateLimiter.forget(aEntry.first);
     }
--- a/bulrushrun/steering/TargetPicker.h
+++ b/bulrushrun/steering/TargetPicker.h
@@ -19,8 +19,23 @@
   NoTarget,
   /// All targets are loaded beyond what they may queue, or cold.
   AllBusy,
+  /// All targets that might be used asked for rest.
+  AllResting,
 };
 
+/// \brief \returns why no target was picked, for the log and the caller.
+constexpr const char* describe(PickFailure aFailure)
+{
+  switch (aFailure) {
+    case PickFailure::AllBusy:
+      return "all targets are busy or cold";
+    case PickFailure::AllResting:
+      return "all targets asked for rest";
+    default:
+      return "no usable target";
+  }
+}
+
 /// \brief Result of a choice.
 struct PickResult
 {
@@ -60,8 +75,14 @@
   TargetStats& stats(const TargetId& aTarget) { return mStats[aTarget]; }
   /// \brief \returns the targets at which objects are placed.
   PlacementTable& placements() { return mPlacer.placements(); }
-  /// \brief Drops the statistics of targets that are no longer in the table.
-  void forgetUnknown(const TargetTable& aTable);
+  /// \brief \returns the earliest end of a rest, if all targets that may serve the request rest.
+  /// Targets that were attempted before count, too.
+  std::optional<TimePoint> earliestEndOfRest(const PickQuery& aQuery,
+                                             const std::vector<const KnownTarget*>& aUsable,
+                                             const PickContext& aContext,
+                                             TimePoint aNow);
+  /// \brief Drops the statistics of targets that are no longer in the table and do not rest.
+  void forgetUnknown(const TargetTable& aTable, TimePoint aNow);
 
 private:
   using Candidate = TargetCandidate;
--- a/bulrushrun/steering/TargetStats.h
+++ b/bulrushrun/steering/TargetStats.h
@@ -91,6 +91,11 @@
   bool isEjected(TimePoint aNow) const { return aNow < mEjectedUntil; }
   /// \brief \returns the end of the last ejection.
   TimePoint ejectedUntil() const { return mEjectedUntil; }
+  /// \brief Records that the target wants no requests until then; an earlier end has no effect.
+  void restUntil(TimePoint aUntil) { mRestsUntil = std::max(mRestsUntil, aUntil); }
+  /// \brief \returns true while the target wants no requests, whatever else speaks for it.
+  bool isResting(TimePoint aNow) const { return aNow < mRestsUntil; }
+  TimePoint restsUntil() const { return mRestsUntil; }
   /// \brief \returns true when the target was ejected and has not responded successfully since.
   bool isOnProbation() const { return mOnProbation; }
 
@@ -120,6 +125,7 @@
   Duration mEjectionDuration = kMinEjectionDuration;
   TimePoint mEjectedUntil;
   bool mOnProbation = false;
+  TimePoint mRestsUntil;
 };
 
 } // namespace bulrushrun
