Soak: targets that leave and ask for rest say so in their answers

The stand-in target adds Server-Leaving to its answers while it leaves, and half of the drains are told in answers only. Targets turn requests away with a Retry-After for a moment now and then. The checker reports a request that a caller sent later than the drain bound after the instance had passed on an answer of a leaving target, and more than two requests between half a second after a 503 with Retry-After and the end of its time. Both hold whether or not the store can be reached; restarts, freezes and cuts of the instance, and disturbed links to the target, excuse them. These faults have a random sequence of their own; the other faults of a seed come as before as far as they do not depend on the course of the run.

--- a/soak/InvariantChecker.cpp
+++ b/soak/InvariantChecker.cpp
@@ -9,6 +9,8 @@
 /// Number of probe services; successive configuration versions use them in turn.
 constexpr std::uint64_t kProbeServices = 3;
 constexpr std::size_t kShortBodyBytes = 100;
+/// Higher statuses are of the instance, which may have no answer of the target.
+constexpr int kServerError = 500;
 
 bool isRefusalStatus(int aStatus)
 {
@@ -51,6 +53,36 @@
       mInstances[attempt->mInstance].wasStableFor(bound, aNow)) {
     report("request sent to a leaving target: " + aId + " target=" + attempt->mLastTarget);
   }
+  attempt->mTargetLeaving = aTarget.isLeaving();
+  if (mInstances[attempt->mInstance].isStable(aNow) &&
+      mWishes.isLateForLeaving(attempt->mInstance, attempt->mLastTarget, attempt->mSent, bound)) {
+    report("request sent to a target whose answer to the instance said that it is leaving: " + aId +
+           " instance=" + std::to_string(attempt->mInstance) + " target=" + attempt->mLastTarget);
+  }
+}
+
+void InvariantChecker::onArrival(const std::string& aId,
+                                 const standins::RegisteredTarget& aTarget,
+                                 TimePoint aNow)
+{
+  const Attempt* attempt = find(aId);
+  const std::string& target = aTarget.setup().mId;
+  // The answer, or requests sent before it, may be held up on a disturbed link.
+  if (attempt != nullptr && mWishes.exceedsRest(attempt->mInstance, target, aNow) &&
+      mInstances[attempt->mInstance].isStable(aNow) && mLinks[target].isStable(aNow)) {
+    report("more than two requests to a target that asked for rest: " + aId +
+           " instance=" + std::to_string(attempt->mInstance) + " target=" + target);
+  }
+}
+
+void InvariantChecker::onRest(const std::string& aId,
+                              const standins::RegisteredTarget& aTarget,
+                              Duration aTime,
+                              TimePoint aNow)
+{
+  if (const Attempt* attempt = find(aId)) {
+    mWishes.onRest(attempt->mInstance, aTarget.setup().mId, aTime, aNow);
+  }
 }
 
 void InvariantChecker::onEnded(const std::string& aId, TimePoint aNow)
@@ -64,6 +96,10 @@
     return;
   }
   checkResponse(aId, attempt);
+  if (attempt.mTargetLeaving && !isRefusalStatus(attempt.mHead.mStatus) &&
+      attempt.mHead.mStatus <= kServerError) {
+    mWishes.onLeavingAnswer(attempt.mInstance, attempt.mLastTarget, attempt.mSent, aNow);
+  }
   if (attempt.mProbe && attempt.mHead.mStatus == 200) {
     checkProbe(aId, attempt);
   }
--- a/soak/InvariantChecker.h
+++ b/soak/InvariantChecker.h
@@ -2,6 +2,7 @@
 
 #include "bulrushrun/host.h"
 #include "soak/StabilityTracker.h"
+#include "soak/TargetWishChecker.h"
 #include "standins/RegisteredTarget.h"
 
 #include <cstdint>
@@ -34,6 +35,8 @@
   int mExecutions = 0;
   std::string mLastTarget;
   std::string mLastService;
+  /// The target that executed it had announced, in its answers, that it is leaving.
+  bool mTargetLeaving = false;
   std::optional<ExchangeResult> mEnd;
   ResponseHead mHead;
   std::string mBody;
@@ -56,6 +59,13 @@
   void onExecution(const std::string& aId,
                    const standins::RegisteredTarget& aTarget,
                    TimePoint aNow);
+  /// \brief Records that a request reached a target, and checks that the target does not rest.
+  void onArrival(const std::string& aId, const standins::RegisteredTarget& aTarget, TimePoint aNow);
+  /// \brief Records that a target turned a request away and asked for rest.
+  void onRest(const std::string& aId,
+              const standins::RegisteredTarget& aTarget,
+              Duration aTime,
+              TimePoint aNow);
   /// \brief Checks a request that ended for the caller; its response and mEnd are set.
   void onEnded(const std::string& aId, TimePoint aNow);
   /// \brief Records that the store acknowledged a configuration version.
@@ -63,7 +73,16 @@
   /// \brief Records that the store acknowledged that a target is leaving, or that it is back.
   void onLeaving(const std::string& aTarget, std::optional<TimePoint> aWhen);
   /// \brief Records the restart of an instance.
-  void onRestart(std::size_t aInstance) { mObservedVersions[aInstance] = {}; }
+  void onRestart(std::size_t aInstance)
+  {
+    mObservedVersions[aInstance] = {};
+    mWishes.onInstanceRestart(aInstance);
+  }
+  /// \brief Records that a target starts again.
+  void onTargetRestart(const std::string& aTarget, TimePoint aNow)
+  {
+    mWishes.onTargetRestart(aTarget, aNow);
+  }
   /// \brief Adds a finding: a violated guarantee.
   void report(const std::string& aText) { mFindings.push_back(aText); }
   /// \brief Checks the guarantees that can be checked only after the run.
@@ -73,6 +92,8 @@
   StabilityTracker& instance(std::size_t aInstance) { return mInstances[aInstance]; }
   StabilityTracker& store() { return mStore; }
   StabilityTracker& targets() { return mTargets; }
+  /// \brief \returns the tracker of the link to a target.
+  StabilityTracker& link(const std::string& aTarget) { return mLinks[aTarget]; }
   const std::vector<std::string>& findings() const { return mFindings; }
   /// \brief \returns the share of the requests sent since then that succeeded with status 200;
   /// probes and abandoned requests are not counted.
@@ -101,6 +122,8 @@
   std::vector<StabilityTracker> mInstances;
   StabilityTracker mStore;
   StabilityTracker mTargets;
+  std::map<std::string, StabilityTracker> mLinks;
+  TargetWishChecker mWishes;
   std::map<std::string, TimePoint> mLeavingTargets;
   std::map<std::uint64_t, TimePoint> mVersions;
   std::vector<ObservedVersion> mObservedVersions;
--- a/soak/SoakFaults.cpp
+++ b/soak/SoakFaults.cpp
@@ -155,6 +155,7 @@
   Target& target = mTargets[mRandom.below(mTargets.size())];
   FaultProxy& proxy = *target.mFaultProxy;
   mChecker.targets().addDisturbance(EventLoop::now() + aDuration);
+  mChecker.link(target.mServer->setup().mId).addDisturbance(EventLoop::now() + aDuration);
   const std::uint64_t kind = mRandom.below(6);
   logFault("link to " + target.mServer->setup().mId + ", kind " + std::to_string(kind));
   switch (kind) {
@@ -229,7 +230,34 @@
   });
 }
 
-/// A target of the main service is drained and later restarted as a new incarnation.
+/// Every now and then a target turns some requests away for a moment and asks for rest. Targets
+/// with another fault are left alone.
+void SoakRun::scheduleRests()
+{
+  if (EventLoop::now() >= mFaultsEndAt) {
+    return;
+  }
+  constexpr double kMeanInterval = 1.2;
+  constexpr Duration kShedding = std::chrono::milliseconds(300);
+  standins::RegisteredTarget& target = *mTargets[mWishRandom.below(mOptions.mTargets)].mServer;
+  const Duration rest = std::chrono::milliseconds(700 + mWishRandom.below(3500));
+  standins::TargetFaults& faults = target.faults();
+  const bool isFaulty = faults.mShedProbability > 0 || faults.mDelay > Duration{ 0 };
+  if (!isFaulty) {
+    logFault("target " + target.setup().mId + " asks for rest, ms " +
+             std::to_string(toMillis(rest)));
+    faults.mShedProbability = 0.5;
+    faults.mRestTime = rest;
+    mLoop.after(kShedding, [&target] {
+      target.faults().mShedProbability = 0;
+      target.faults().mRestTime = Duration{ 0 };
+    });
+  }
+  mLoop.after(fromSeconds(mWishRandom.exponential(kMeanInterval)), [this] { scheduleRests(); });
+}
+
+/// A target of the main service is drained and later restarted as a new incarnation. Some say so in
+/// their answers only.
 void SoakRun::drainTarget()
 {
   const std::size_t number = mRandom.below(mOptions.mTargets);
@@ -238,14 +266,18 @@
     return;
   }
   const std::string id = target.mServer->setup().mId;
-  logFault("drain of " + id);
+  const bool registersIt = mWishRandom.chance(0.5);
+  logFault("drain of " + id + (registersIt ? "" : ", said in answers only"));
   target.mServer->setLeaving(true);
-  putTarget(target);
-  mChecker.onLeaving(id, EventLoop::now());
+  if (registersIt) {
+    putTarget(target);
+    mChecker.onLeaving(id, EventLoop::now());
+  }
   mLoop.after(kLeavingDuration, [this, id] { mStore.remove("servers", id); });
   mLoop.after(kLeavingDuration + std::chrono::seconds(2), [this, number, id] {
     mTargets[number].mServer->restart();
     mChecker.onLeaving(id, std::nullopt);
+    mChecker.onTargetRestart(id, EventLoop::now());
     putTarget(mTargets[number]);
   });
 }
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -37,6 +37,7 @@
 SoakRun::SoakRun(SoakOptions aOptions)
   : mOptions(std::move(aOptions))
   , mRandom(mOptions.mSeed)
+  , mWishRandom(mOptions.mSeed + 1)
   , mChecker(mOptions.mInstances)
   , mStore(mLoop, mRandom.next())
 {
@@ -104,6 +105,14 @@
     [this](const std::string& aId, const standins::RegisteredTarget& aTarget) {
       mChecker.onExecution(aId, aTarget, EventLoop::now());
     });
+  target.mServer->setOnArrival(
+    [this](const std::string& aId, const standins::RegisteredTarget& aTarget) {
+      mChecker.onArrival(aId, aTarget, EventLoop::now());
+    });
+  target.mServer->setOnRest(
+    [this](const std::string& aId, const standins::RegisteredTarget& aTarget, Duration aTime) {
+      mChecker.onRest(aId, aTarget, aTime, EventLoop::now());
+    });
   target.mFaultProxy = std::make_unique<FaultProxy>(mLoop, target.mAddress, serverAddress);
   mTargets.push_back(std::move(target));
   putTarget(mTargets.back());
@@ -235,7 +244,10 @@
     probeAll();
   });
   if (!mOptions.mCalm) {
-    mLoop.after(kStartupTime, [this] { scheduleFaults(); });
+    mLoop.after(kStartupTime, [this] {
+      scheduleFaults();
+      scheduleRests();
+    });
   }
   stopWhenDone();
   mLoop.run();
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -92,10 +92,13 @@
   void injectTargetFault(Duration aDuration);
   void injectCallerNetworkFault(std::size_t aNumber, Duration aDuration);
   void drainTarget();
+  void scheduleRests();
   void logFault(const std::string& aText);
 
   SoakOptions mOptions;
   Random mRandom;
+  /// For what targets say in their answers; separate, so that seeds keep their other faults.
+  Random mWishRandom;
   EventLoop mLoop;
   InvariantChecker mChecker;
   standins::RowStoreServer mStore;
--- a/standins/RegisteredTarget.cpp
+++ b/standins/RegisteredTarget.cpp
@@ -77,12 +77,18 @@
                     { "X-Server-Load",
                       std::to_string(mExecuting) + "," + std::to_string(mQueue.size()) + "," +
                         std::to_string(mOptions.mSlots) } };
+  if (mLeaving) {
+    head.mHeaders.push_back({ "Server-Leaving", "1" });
+  }
   head.mCloseAfter = mLeaving;
   return head;
 }
 
 void RegisteredTarget::handle(const HttpRequest& aRequest, const ResponderPtr& aResponder)
 {
+  if (mOnArrival) {
+    mOnArrival(headerText(aRequest, "X-Request-Id"), *this);
+  }
   const std::string intendedTarget = headerText(aRequest, "X-Target-Instance");
   if (!intendedTarget.empty() && intendedTarget != mOptions.mId) {
     decline(kMisdirected, aRequest, aResponder);
@@ -101,7 +107,15 @@
 {
   HttpResponse declined{ makeHead(aStatus, aRequest), "declined" };
   declined.mHead.mHeaders.push_back({ "X-Not-Executed", "1" });
+  const bool asksForRest = aStatus == kUnavailable && mFaults.mRestTime > Duration{ 0 };
+  if (asksForRest) {
+    declined.mHead.mHeaders.push_back(
+      { "Retry-After", std::to_string(toSeconds(mFaults.mRestTime)) });
+  }
   respond(*aResponder, declined);
+  if (asksForRest && mOnRest) {
+    mOnRest(headerText(aRequest, "X-Request-Id"), *this, mFaults.mRestTime);
+  }
 }
 
 void RegisteredTarget::executeQueued()
--- a/standins/RegisteredTarget.h
+++ b/standins/RegisteredTarget.h
@@ -33,6 +33,8 @@
   double mFailureProbability = 0;
   /// Probability that a request is declined although the queue has room.
   double mShedProbability = 0;
+  /// Time for which declined requests ask for rest; they do not when it is zero.
+  Duration mRestTime{ 0 };
   /// Additional execution time of every request.
   Duration mDelay{ 0 };
 };
@@ -45,6 +47,8 @@
 public:
   /// Called when a request begins to execute, with the request's id and this target.
   using ExecutionListener = std::function<void(const std::string&, const RegisteredTarget&)>;
+  /// Called when a request has been turned away, with its id and the time of rest asked for.
+  using RestListener = std::function<void(const std::string&, const RegisteredTarget&, Duration)>;
 
   RegisteredTarget(EventLoop& aLoop,
                    const Endpoint& aListen,
@@ -54,6 +58,10 @@
 
   const RegisteredTargetOptions& setup() const { return mOptions; }
   TargetFaults& faults() { return mFaults; }
+  /// \brief Sets the callback for each request that arrives, executed or not.
+  void setOnArrival(ExecutionListener aOnArrival) { mOnArrival = std::move(aOnArrival); }
+  /// \brief Sets the callback for requests that were turned away with a time of rest.
+  void setOnRest(RestListener aOnRest) { mOnRest = std::move(aOnRest); }
   /// \brief Sets whether its responses and its registration announce that it is leaving.
   void setLeaving(bool aLeaving) { mLeaving = aLeaving; }
   bool isLeaving() const { return mLeaving; }
@@ -84,6 +92,8 @@
   RegisteredTargetOptions mOptions;
   Random mRandom;
   ExecutionListener mOnExecution;
+  ExecutionListener mOnArrival;
+  RestListener mOnRest;
   TargetFaults mFaults;
   bool mLeaving = false;
   int mIncarnation = 1;
