--- a/bulrushrun/steering/RequestProxy.h
+++ b/bulrushrun/steering/RequestProxy.h
@@ -114,7 +114,7 @@
   /// Timeout of a request that sets none.
   static constexpr Duration kDefaultTimeout = std::chrono::seconds(10);
   /// Bounds of Retry-After, which is the smoothed latency with jitter, so that callers do not
-  /// return together.
+  /// return together. While all targets rest, it comes on top of the remaining rest.
   static constexpr Duration kMinRetryAfter = std::chrono::milliseconds(100);
   static constexpr Duration kMaxRetryAfter = std::chrono::milliseconds(1500);
   /// A target is unresponsive after this multiple of the smoothed latency, or of the route's
