--- a/bulrushrun/steering/MessageMetadata.h
+++ b/bulrushrun/steering/MessageMetadata.h
@@ -36,9 +36,15 @@
   bool mEncoded = false;
   /// The target closes the connection after this response.
   bool mClosing = false;
+  /// The target is leaving and wants no new requests.
+  bool mLeaving = false;
   std::optional<LoadReport> mLoad;
   /// How long the target stays cold.
   std::optional<Duration> mColdRemaining;
+  /// For how long the target, which turned the request away, wants no requests.
+  std::optional<Duration> mRestTime;
+  /// Which headers were ignored as invalid, and why, for the log; empty when none were.
+  std::string mIgnored;
 };
 
 /// \brief Lookup by a caller of the instances to use.
--- a/bulrushrun/steering/RequestProxy.h
+++ b/bulrushrun/steering/RequestProxy.h
@@ -58,8 +58,8 @@
 /// instances. The RequestStateMachine decides what may be done with a request, the TargetPicker
 /// where it is sent.
 ///
-/// \tparam Codec  header codec with parseRequestMetadata, parseResponseMetadata and
-/// setForwardingHeaders
+/// \tparam Codec  header codec with parseRequestMetadata, parseResponseMetadata,
+/// removeTargetHeaders and setForwardingHeaders
 template<class HostType, class Codec>
 class RequestProxy
 {
@@ -85,9 +85,9 @@
   std::size_t requestsInProgress() const { return mRequests.size(); }
   const RequestProxyCounters& counters() const { return mCounters; }
   const ServiceMetrics& metrics() const { return mMetrics; }
-  /// \brief Sets the callback for responses that show that a target is draining, was replaced or
-  /// is cold.
-  void setOnTargetUpdate(std::function<void(const TargetId&, const ResponseMetadata&)> aOnUpdate)
+  /// \brief Sets the callback for responses that show that a target is leaving, was replaced or is
+  /// cold.
+  void setOnTargetUpdate(std::function<void(const TargetAttempt&)> aOnUpdate)
   {
     mOnTargetUpdate = std::move(aOnUpdate);
   }
@@ -121,7 +121,7 @@
   /// Timeout of a request that sets none.
   static constexpr Duration kDefaultTimeout = std::chrono::seconds(10);
   /// Bounds of Retry-After, which is the smoothed latency with jitter, so that callers do not
-  /// return together.
+  /// return together. While all targets rest, it comes on top of the remaining rest.
   static constexpr Duration kMinRetryAfter = std::chrono::milliseconds(100);
   static constexpr Duration kMaxRetryAfter = std::chrono::milliseconds(1500);
   /// A target is unresponsive after this multiple of the smoothed latency, or of the route's
@@ -132,6 +132,9 @@
   static constexpr Duration kMinUnresponsiveAfter = std::chrono::milliseconds(800);
   static constexpr const char* kShuttingDownText =
     "this instance is shutting down; use another one";
+  /// The rest of a target is prolonged by a random part of up to this fraction, so that the
+  /// instances that it turned away do not return together.
+  static constexpr double kMaxRestSpread = 0.1;
   /// Time that must remain for a retry, as a fraction of the smoothed latency.
   static constexpr double kMinRetryTimeShare = 0.5;
 
@@ -164,6 +167,8 @@
   void startAttempt(Request& aRequest, const PickResult& aPick);
   ExchangeListener listener(RequestId aId);
   void onHead(RequestId aId, const ResponseHead& aHead);
+  void reportTargetUpdate(Request& aRequest);
+  void startRest(const TargetAttempt& aAttempt);
   bool onBody(RequestId aId, std::string_view aBytes);
   void onEnd(RequestId aId, ExchangeResult aEnd, const std::string& aReason);
   void onComplete(Request& aRequest);
@@ -197,7 +202,7 @@
   /// By route.
   std::map<std::string, RunTimeEstimate> mRunTimes;
   std::map<std::string, WeightedRoundRobin> mServiceSplits;
-  std::function<void(const TargetId&, const ResponseMetadata&)> mOnTargetUpdate;
+  std::function<void(const TargetAttempt&)> mOnTargetUpdate;
   std::function<void(const Placement&)> mOnPlaced;
   std::function<void(const TargetId&, const LoadReport&)> mOnLoadReport;
   RequestProxyCounters mCounters;
@@ -215,3 +220,5 @@
 #include "bulrushrun/steering/RequestProxyExchange.h"
 // Origin of responses.
 #include "bulrushrun/steering/RequestProxyOrigin.h"
+// What responses tell about the targets.
+#include "bulrushrun/steering/RequestProxyTargetUpdates.h"
