A request that is sent again follows the home regions in force

Callers would see: a request outside its home region, sent again up to its time limit after the homes changed.

Cause: an attempt takes the homes from the configuration under which the request was taken. Change: from the one in force, if it still has a route for the request. The service stays.

--- a/bulrushrun/steering/RequestProxy.h
+++ b/bulrushrun/steering/RequestProxy.h
@@ -187,6 +187,7 @@
   static bool isSuccess(int aStatus) { return aStatus >= 200 && aStatus < 300; }
 
   Request* find(RequestId aId);
+  const std::vector<RegionName>& homeRegions(const Request& aRequest) const;
   PickQuery makePickQuery(const Request& aRequest) const;
   std::string retryAfter(const Request& aRequest);
   Duration smoothedLatency(const ServiceName& aService) const;
--- a/bulrushrun/steering/RequestProxyActions.h
+++ b/bulrushrun/steering/RequestProxyActions.h
@@ -57,6 +57,20 @@
   }
 }
 
+/// \returns the regions in which the request may be served. Those of the configuration in force
+/// bind also a request that was taken under an earlier one and is sent again.
+template<class HostType, class Codec>
+const std::vector<RegionName>& RequestProxy<HostType, Codec>::homeRegions(
+  const Request& aRequest) const
+{
+  const std::string_view path = aRequest.mRequest.mPath;
+  const Route* inForce =
+    aRequest.mPlan == mSteeringState.mPlan
+      ? nullptr
+      : mSteeringState.mPlan->match(aRequest.mRequest.mAuthority, path.substr(0, path.find('?')));
+  return inForce == nullptr ? aRequest.mRoute->mHomeRegions : inForce->mHomeRegions;
+}
+
 template<class HostType, class Codec>
 PickQuery RequestProxy<HostType, Codec>::makePickQuery(const Request& aRequest) const
 {
@@ -69,7 +83,7 @@
   }
   query.mLargeResponse = route.mLargeResponses;
   query.mTriedTargets = aRequest.mTriedTargets;
-  query.mHomeRegions = route.mHomeRegions;
+  query.mHomeRegions = homeRegions(aRequest);
   const ServicePolicy* servicePolicy = aRequest.mPlan->servicePolicy(aRequest.mService);
   if (servicePolicy != nullptr) {
     query.mColdRateLimit = servicePolicy->mColdRequestsPerSecond * mSteeringState.mColdFactor +
