A response that does not say how long it was held counts from when it was asked for

From the review of the incident: with an instance of the version before, two instances still vouched for each other. The whole time since the request was sent is added to the staleness where the responder does not say for how long it held the request; in a fleet of both versions instances read the store more often. Whether a peer is stale is judged by what it states, not by the way.

Test: PeerStalenessTest, two instances that hear only each other for 8 s. Without the sum it fails at 100 ms (states 7,718 ms), with it all six delays pass. Not shown by a test: a fleet of both versions.

--- a/bulrushrun/steering/tests/HomeRegionsTest.cpp
+++ b/bulrushrun/steering/tests/HomeRegionsTest.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace bulrushrun::steering_test {
 namespace {
 
@@ -71,6 +73,64 @@
   }
 }
 
+/// Guards against a request that is sent again to its old home region after the homes changed.
+TEST_P(HomeRegionsTest, RequestThatIsSentAgainFollowsTheHomesInForce)
+{
+  mSimulation.putTarget("in-ra-2", "ready", 400, 0, "za");
+  mSimulation.putTarget("in-rb-2", "ready", 400, 0, "zb");
+  mSimulation.run(kBound);
+  const std::shared_ptr<RecordingResponder> responder = mSimulation.sendRequest("n1", "id-kept");
+  ASSERT_EQ(mSimulation.targetExchanges().size(), 1U);
+  exchangeHomes();
+  mSimulation.run(std::chrono::milliseconds(300));
+  mSimulation.putPlan(++mVersion, "safe", R"(,"homeRegions":[")" + mHome.substr(3) + R"("])");
+  mSimulation.run(std::chrono::milliseconds(1400));
+  mSimulation.respondTo(
+    mSimulation.targetExchanges().back(), 503, { { "X-Not-Executed", "1" } }, "");
+  const std::vector<ExchangeId> exchanges = mSimulation.targetExchanges();
+  ASSERT_EQ(exchanges.size(), 1U);
+  const std::string* target =
+    findHeader(mSimulation.exchange(exchanges.back()).mRequest.mHeaders, "X-Target-Instance");
+  ASSERT_NE(target, nullptr);
+  EXPECT_TRUE(target->starts_with(mHome)) << *target;
+}
+
+/// Two instances hear only each other; the parameter is the time that their responses take, in
+/// milliseconds.
+class PeerStalenessTest : public ::testing::TestWithParam<int>
+{};
+
+/// Guards against instances that vouch for each other: each takes the other's response for fresh,
+/// and neither grows stale while both are cut off from the store.
+TEST_P(PeerStalenessTest, InstancesThatHearOnlyEachOtherGrowStale)
+{
+  FleetSimulation simulation;
+  simulation.putPlan(1, "safe");
+  simulation.putTarget("t1");
+  simulation.add("n1", "za").start();
+  simulation.add("n2", "za").start();
+  simulation.run(std::chrono::seconds(5));
+  simulation.mPeerResponseDelay = std::chrono::milliseconds(GetParam());
+  simulation.mStoreUnreachableFrom = { "n1", "n2" };
+  // Calls that the store holds still end.
+  simulation.run(std::chrono::seconds(1));
+  simulation.run(std::chrono::seconds(8));
+  simulation.sendRequest("n1", "id-1");
+  simulation.respondOk(simulation.targetExchanges().back());
+  const std::vector<std::string>& log = simulation.host("n1").mLog;
+  const auto ended = std::find_if(log.begin(), log.end(), [](const std::string& aLine) {
+    return aLine.starts_with("request-ended id=id-1 ");
+  });
+  ASSERT_NE(ended, log.end());
+  const std::string key = " news_age_ms=";
+  const std::size_t start = ended->find(key);
+  ASSERT_NE(start, std::string::npos);
+  EXPECT_GE(std::stoi(ended->substr(start + key.size())), 8000) << *ended;
+}
+
+INSTANTIATE_TEST_SUITE_P(ResponseDelays,
+                         PeerStalenessTest,
+                         ::testing::Values(0, 100, 250, 400, 550, 700));
 INSTANTIATE_TEST_SUITE_P(ResponseDelays,
                          HomeRegionsTest,
                          ::testing::Values(0, 200, 400, 600, 800, 1000, 1150));
--- a/bulrushrun/store/PeerReplicator.h
+++ b/bulrushrun/store/PeerReplicator.h
@@ -173,13 +173,14 @@
     std::optional<PeerChanges> changes = aResult == ExchangeResult::Complete
                                            ? decodePeerChanges(aResponse.mBody, mKeys)
                                            : std::nullopt;
-    if (changes && changes->mHeld) {
+    mLastResponseUnusable = !changes || changes->mStaleness > mPeriod + kTransferAllowance;
+    if (changes) {
       // The responder measured its staleness when it sent the response. All of the time for which
-      // it did not hold the request may have passed since.
+      // it is not known to have held the request may have passed since.
       const Duration elapsed = mHost.now() - mRequestedAt;
-      changes->mStaleness += std::max(elapsed - *changes->mHeld, Duration{ 0 });
+      changes->mStaleness +=
+        std::max(elapsed - changes->mHeld.value_or(Duration{ 0 }), Duration{ 0 });
     }
-    mLastResponseUnusable = !changes || changes->mStaleness > mPeriod + kTransferAllowance;
     if (changes) {
       changes->mRequested = mRequestedProgress;
       mCallbacks.mOnPeerChanges(*changes, aPeer);
