--- a/bulrushrun/steering/SteeringInstance.h
+++ b/bulrushrun/steering/SteeringInstance.h
@@ -122,6 +122,8 @@
   /// allows for one lost response; the rest of the bound is for reading.
   static constexpr double kReplicationPeriodShare = 0.36;
   static constexpr double kStaleShare = 0.56;
+  /// The store is asked after so many responses without proof: the next one often has it.
+  static constexpr int kMaxUnprovenResponses = 2;
   /// Shortest time between two reads of a table because replicas differ.
   static constexpr Duration kMinReadAgainPeriod = std::chrono::seconds(10);
 
@@ -190,6 +192,8 @@
   std::array<TimePoint, kReplicatedTables> mSyncedAt;
   /// Peers cannot prove that their changes of the table are complete, so the store is asked.
   std::array<bool, kReplicatedTables> mStoreNeeded{};
+  /// Responses in a row that did not prove that they are complete.
+  std::array<int, kReplicatedTables> mUnprovenResponses{};
   std::array<TimePoint, kReplicatedTables> mReadAgainAt;
   PeerReplicator<HostType> mPeerReplication;
   PlacementAnnouncer<HostType> mPlacementAnnouncer;
--- a/bulrushrun/steering/SteeringInstanceReplication.h
+++ b/bulrushrun/steering/SteeringInstanceReplication.h
@@ -37,7 +37,7 @@
 {
   PeerChangesRequest request = localProgress();
   for (std::size_t i = 0; i < kReplicatedTables; ++i) {
-    if (mStoreNeeded[i] && !mFeedReaders[i].isAvailable()) {
+    if (mStoreNeeded[i] && mFeedReaders[i].isFailing()) {
       request.mProgress[i] = {};
     }
   }
@@ -81,8 +81,12 @@
       }
       return adoption.mApplied;
     });
-    const bool isRead = aChanges.mProgress[i].mCompleteVersion > RecordVersion{};
-    mStoreNeeded[i] = isRead ? !adoption.mComplete : mStoreNeeded[i];
+    if (adoption.mComplete) {
+      mUnprovenResponses[i] = 0;
+      mStoreNeeded[i] = false;
+    } else if (aChanges.mProgress[i].mCompleteVersion > RecordVersion{}) {
+      mStoreNeeded[i] = ++mUnprovenResponses[i] >= kMaxUnprovenResponses;
+    }
     if (adoption.mDiverged) {
       onDivergence(table, aPeer);
     }
--- a/bulrushrun/steering/SteeringInstanceTables.h
+++ b/bulrushrun/steering/SteeringInstanceTables.h
@@ -112,6 +112,7 @@
     [this, aTable, index](const Table& aRows, RecordVersion aVersion, TimePoint aMadeAt) {
       setCurrent(aTable, aMadeAt);
       mStoreNeeded[index] = false;
+      mUnprovenResponses[index] = 0;
       adoptRows(aTable, "read", aRows, [&](TableReplica& aReplica) {
         return aReplica.applySnapshot(aRows, aVersion);
       });
@@ -119,6 +120,7 @@
   listener.mOnChanges = [this, aTable, index](const Table& aRows, TimePoint aMadeAt) {
     setCurrent(aTable, aMadeAt);
     mStoreNeeded[index] = false;
+    mUnprovenResponses[index] = 0;
     updateReaderRole();
     adoptRows(aTable, "feed", aRows, [&](TableReplica& aReplica) {
       return aReplica.apply(aRows, mFeedReaders[index].version());
--- a/bulrushrun/store/PeerAdoption.cpp
+++ b/bulrushrun/store/PeerAdoption.cpp
@@ -32,7 +32,9 @@
     return adoption;
   }
   const bool isWholeTable = aRequested.mCompleteVersion == unread;
-  const bool knowsRemovals = aSummary.mRemovalsKnownFrom <= aReplica.completeVersion();
+  // An instance of an older version does not state from when on it knows removals.
+  const bool knowsRemovals = aSummary.mRemovalsKnownFrom != unread &&
+                             aSummary.mRemovalsKnownFrom <= aReplica.completeVersion();
   if (isWholeTable) {
     adoption.mApplied = aReplica.applySnapshot(aRows, complete);
   } else {
--- a/bulrushrun/store/TableFeedReader.h
+++ b/bulrushrun/store/TableFeedReader.h
@@ -65,6 +65,7 @@
   {
     mActive = aActive;
     if (mActive && std::exchange(mSuspended, false)) {
+      mFailing = false;
       // Without a wait, to learn at once whether anything changed in the meantime.
       requestFeed(Duration{ 0 });
     }
@@ -79,8 +80,8 @@
     }
   }
 
-  /// \brief \returns true while the last call to the store succeeded.
-  bool isAvailable() const { return mAvailable; }
+  /// \brief \returns true when the last call to the store failed, since the feed was resumed.
+  bool isFailing() const { return mFailing; }
 
   /// \brief Skips changes up to a version, all of which were received from peers.
   void advanceTo(RecordVersion aVersion) { mVersion = std::max(mVersion, aVersion); }
@@ -185,6 +186,7 @@
   void onSuccess()
   {
     mBackoff = kMinBackoff;
+    mFailing = false;
     if (!std::exchange(mAvailable, true)) {
       mListener.mOnAvailability(true, "");
     }
@@ -192,6 +194,7 @@
 
   void onFailure(const std::string& aReason, std::function<void()> aRetry)
   {
+    mFailing = true;
     if (std::exchange(mAvailable, false)) {
       mListener.mOnAvailability(false, aReason);
     }
@@ -242,6 +245,7 @@
   StoreClock mStoreClock;
   Duration mBackoff = kMinBackoff;
   bool mAvailable = true;
+  bool mFailing = false;
   bool mActive = true;
   bool mSuspended = false;
   bool mTableRequested = false;
--- a/bulrushrun/store/TableReplica.cpp
+++ b/bulrushrun/store/TableReplica.cpp
@@ -50,16 +50,16 @@
 std::vector<StoreRow> TableReplica::applySnapshot(const std::vector<StoreRow>& aRows,
                                                   RecordVersion aVersion)
 {
-  if (aVersion < mCompleteVersion) {
-    // An older read than what is known: rows that it lacks may have been added since.
-    return apply(aRows, aVersion);
-  }
   std::vector<StoreRow> applied;
   std::set<std::string> snapshotKeys;
+  // Unless removals since the snapshot may be unknown, a row of the snapshot exists, even if its
+  // version was passed over before.
+  const bool knowsLaterRemovals = mRemovalsKnownFrom <= aVersion || mCompleteVersion <= aVersion;
   for (const StoreRow& row : aRows) {
     snapshotKeys.insert(row.mKey);
-    // A row of the snapshot exists, even if its version was passed over before.
-    if (applyRow(row)) {
+    const bool mayBeRemoved =
+      !knowsLaterRemovals && row.mVersion <= mCompleteVersion && !mRows.contains(row.mKey);
+    if (!mayBeRemoved && applyRow(row)) {
       applied.push_back(row);
     }
   }
@@ -73,7 +73,7 @@
   if (aVersion > mCompleteVersion) {
     mRemovalsKnownFrom = aVersion;
   }
-  mCompleteVersion = aVersion;
+  mCompleteVersion = std::max(mCompleteVersion, aVersion);
   return applied;
 }
 
--- a/bulrushrun/store/tests/PeerReplicationCodecTest.cpp
+++ b/bulrushrun/store/tests/PeerReplicationCodecTest.cpp
@@ -10,6 +10,8 @@
   PeerChanges changes;
   changes.mStaleness = std::chrono::milliseconds(120);
   changes.mProgress[0] = { RecordVersion{ 4 }, RecordVersion{ 5 } };
+  changes.mHeld = std::chrono::milliseconds(30);
+  changes.mSummaries[1] = { RecordVersion{ 3 }, 77 };
   changes.mRows[1] = { { "k", "v", RecordVersion{ 7 }, true } };
   return changes;
 }
@@ -21,6 +23,8 @@
   ASSERT_TRUE(decoded);
   EXPECT_EQ(decoded->mStaleness, std::chrono::milliseconds(120));
   EXPECT_EQ(decoded->mProgress, makeChanges().mProgress);
+  EXPECT_EQ(decoded->mHeld, makeChanges().mHeld);
+  EXPECT_EQ(decoded->mSummaries, makeChanges().mSummaries);
   ASSERT_EQ(decoded->mRows[1].size(), 1U);
   EXPECT_TRUE(decoded->mRows[1][0].mRemoved);
 }
