--- a/bulrushrun/membership/tests/LeavingNoticeQueueTest.cpp
+++ b/bulrushrun/membership/tests/LeavingNoticeQueueTest.cpp
@@ -91,9 +91,10 @@
   EXPECT_EQ(decoded->mNotices.front().mAge, kAge);
   using EarlierNotice = std::tuple<std::string, std::int64_t>;
   using Notice = std::tuple<std::string, std::int64_t, std::uint64_t, std::int64_t>;
-  EXPECT_TRUE(unpackMessage<EarlierNotice>(packMessage(Notice{ "t", 77, 3, 9 })));
-  const std::optional<Notice> earlier =
-    unpackMessage<Notice>(packMessage(EarlierNotice{ "t", 77 }));
+  const std::string longer = packMessage(Notice{ "t", 77, 3, 9 });
+  EXPECT_TRUE(unpackMessage<EarlierNotice>(longer));
+  const std::string shorter = packMessage(EarlierNotice{ "t", 77 });
+  const std::optional<Notice> earlier = unpackMessage<Notice>(shorter);
   ASSERT_TRUE(earlier);
   EXPECT_EQ(std::get<2>(*earlier), 0U);
 }
--- a/bulrushrun/store.h
+++ b/bulrushrun/store.h
@@ -13,8 +13,8 @@
 #include "bulrushrun/store/BufferedExchange.h"
 #include "bulrushrun/store/PlatformClient.h"
 // Row store: rows, change feed and replica of a table.
-#include "bulrushrun/store/StoreRow.h"
 #include "bulrushrun/store/StoreClock.h"
+#include "bulrushrun/store/StoreRow.h"
 #include "bulrushrun/store/TableFeedReader.h"
 #include "bulrushrun/store/TableReplica.h"
 // Replication of its tables between instances.
