--- a/bulrushrun/membership/tests/LeavingNoticeQueueTest.cpp
+++ b/bulrushrun/membership/tests/LeavingNoticeQueueTest.cpp
@@ -11,6 +11,15 @@
 namespace bulrushrun {
 namespace {
 
+using EarlierNotice = std::tuple<std::string, std::int64_t>;
+using Notice = std::tuple<std::string, std::int64_t, std::uint64_t, std::int64_t>;
+
+template<class Value>
+std::optional<Value> decode(std::string_view aBytes)
+{
+  return unpackMessage<Value>(aBytes);
+}
+
 class LeavingNoticeQueueTest : public ::testing::Test
 {
 protected:
@@ -89,12 +98,10 @@
   ASSERT_TRUE(decoded);
   EXPECT_EQ(decoded->mNotices.front().mIncarnation, Incarnation{ 3 });
   EXPECT_EQ(decoded->mNotices.front().mAge, kAge);
-  using EarlierNotice = std::tuple<std::string, std::int64_t>;
-  using Notice = std::tuple<std::string, std::int64_t, std::uint64_t, std::int64_t>;
   const std::string longer = packMessage(Notice{ "t", 77, 3, 9 });
-  EXPECT_TRUE(unpackMessage<EarlierNotice>(longer));
+  EXPECT_TRUE(decode<EarlierNotice>(longer));
   const std::string shorter = packMessage(EarlierNotice{ "t", 77 });
-  const std::optional<Notice> earlier = unpackMessage<Notice>(shorter);
+  const std::optional<Notice> earlier = decode<Notice>(shorter);
   ASSERT_TRUE(earlier);
   EXPECT_EQ(std::get<2>(*earlier), 0U);
 }
