--- a/bulrushrun/net/tests/StrayResponseFixture.h
+++ b/bulrushrun/net/tests/StrayResponseFixture.h
@@ -74,7 +74,7 @@
     return false;
   }
   /// Starts an exchange that accepts only responses with this id; any response if it is empty.
-  std::shared_ptr<ObservedExchange> start(const std::string& aId, HttpRequest aRequest)
+  std::shared_ptr<ObservedExchange> start(const std::string& aId, const HttpRequest& aRequest)
   {
     const std::shared_ptr<ObservedExchange> seen = std::make_shared<ObservedExchange>();
     ExchangeListener listener;
