--- a/bulrushrun/steering/tests/LeavingAnswerTest.cpp
+++ b/bulrushrun/steering/tests/LeavingAnswerTest.cpp
@@ -212,7 +212,7 @@
   EXPECT_EQ(sendAndReadTarget("id-2"), mHome);
 }
 
-/// The other instances hear of it by gossip, in touch with the store or not.
+/// The other instances hear of it by gossip, whether they reach the store or not.
 class LeavingNoticeTest : public SteeringFleetTest
 {
 protected:
