--- a/bulrushrun/store/BufferedExchange.h
+++ b/bulrushrun/store/BufferedExchange.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace bulrushrun {
 
@@ -12,7 +13,8 @@
 ///
 /// \param aTimeout  after this time the exchange is aborted and reported as interrupted
 /// \param aMaxBytes  an exchange with a longer response body is aborted and reported as interrupted
-/// \param aDone  runs exactly once, never from within the call
+/// \param aDone  runs exactly once, never from within the call; the body of an interrupted exchange
+/// is what was received of it
 template<class HostType>
 void startBufferedExchange(HostType& aHost,
                            const Endpoint& aEndpoint,
@@ -31,7 +33,7 @@
   const std::function<void()> interrupt = [&aHost, pending, aDone] {
     aHost.cancelTimer(pending->mTimer);
     aHost.abortExchange(pending->mExchange);
-    aDone(ExchangeResult::Interrupted, {});
+    aDone(ExchangeResult::Interrupted, std::move(pending->mResponse));
   };
   ExchangeListener listener;
   listener.mOnHead = [pending](const ResponseHead& aHead) { pending->mResponse.mHead = aHead; };
--- a/bulrushrun/store/PeerReplicator.h
+++ b/bulrushrun/store/PeerReplicator.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bulrushrun/host/EventCatalogue.h"
 #include "bulrushrun/host/Http.h"
 #include "bulrushrun/host/Responder.h"
 #include "bulrushrun/store/BufferedExchange.h"
@@ -173,6 +174,12 @@
     std::optional<PeerChanges> changes = aResult == ExchangeResult::Complete
                                            ? decodePeerChanges(aResponse.mBody, mKeys)
                                            : std::nullopt;
+    if (!changes) {
+      mHost.log(events::kTransferInterrupted,
+                "source=peer peer=" + aPeer.text() +
+                  " bytes=" + std::to_string(aResponse.mBody.size()) +
+                  " ms=" + std::to_string(toMillis(mHost.now() - mRequestedAt)));
+    }
     mLastResponseUnusable = !changes || changes->mStaleness > mPeriod + kTransferAllowance;
     if (changes) {
       // The responder measured its staleness when it sent the response. All of the time for which
--- a/bulrushrun/store/TableFeedReader.h
+++ b/bulrushrun/store/TableFeedReader.h
@@ -208,27 +208,31 @@
   void call(HttpRequest aRequest, Duration aTimeout, std::function<void(RowReadResult)> aDone)
   {
     mCalledAt = mHost.now();
-    startBufferedExchange(mHost,
-                          mStore,
-                          std::move(aRequest),
-                          aTimeout,
-                          kMaxResponseBytes,
-                          [this, done = std::move(aDone)](ExchangeResult aExchangeResult,
-                                                          const HttpResponse& aResponse) {
-                            RowReadResult result;
-                            if (aExchangeResult == ExchangeResult::Complete) {
-                              result = Protocol::parseReadResponse(aResponse);
-                              if (result.mUnreadableRows > 0) {
-                                mUnreadableRows += result.mUnreadableRows;
-                                mHost.log(events::kRowsUnreadable,
-                                          "table=" + mTable +
-                                            " rows=" + std::to_string(result.mUnreadableRows));
-                              }
-                            } else {
-                              result.mReason = "no response";
-                            }
-                            done(std::move(result));
-                          });
+    startBufferedExchange(
+      mHost,
+      mStore,
+      std::move(aRequest),
+      aTimeout,
+      kMaxResponseBytes,
+      [this, done = std::move(aDone)](ExchangeResult aExchangeResult,
+                                      const HttpResponse& aResponse) {
+        RowReadResult result;
+        if (aExchangeResult == ExchangeResult::Complete) {
+          result = Protocol::parseReadResponse(aResponse);
+          if (result.mUnreadableRows > 0) {
+            mUnreadableRows += result.mUnreadableRows;
+            mHost.log(events::kRowsUnreadable,
+                      "table=" + mTable + " rows=" + std::to_string(result.mUnreadableRows));
+          }
+        } else {
+          result.mReason = "no response";
+          mHost.log(events::kTransferInterrupted,
+                    "source=store table=" + mTable +
+                      " bytes=" + std::to_string(aResponse.mBody.size()) +
+                      " ms=" + std::to_string(toMillis(mHost.now() - mCalledAt)));
+        }
+        done(std::move(result));
+      });
   }
 
   HostType& mHost;
