Large values are compressed between instances

Cause: the configuration is one row. With 4,200 routes it has 0.85 MB, and each instance on the way to the last one sent it whole to ten others over a link of 10 Mbit/s. A response had to be whole 1.74 s after the request, so most were given up midway and begun again, elsewhere or at the store, whose responses met the same full link. Peers of older versions get plain values, and older responders ignore the additional number in the request. Ruled out: a lost row (every version was adopted by all). Weighed: differences between versions; smaller still, but they need the previous version on both sides, which is what a late instance lacks. Package: zlib1g-dev.

--- a/bulrushrun/store.h
+++ b/bulrushrun/store.h
@@ -7,6 +7,7 @@
 #include "bulrushrun/store/Platform.h"
 // Codecs of the platform's protocols.
 #include "bulrushrun/store/Base64.h"
+#include "bulrushrun/store/CompressedText.h"
 #include "bulrushrun/store/InstanceListCodec.h"
 #include "bulrushrun/store/TableCodec.h"
 // HTTP client of the platform.
--- a/bulrushrun/store/PeerReplicationCodec.cpp
+++ b/bulrushrun/store/PeerReplicationCodec.cpp
@@ -1,6 +1,7 @@
 #include "bulrushrun/store/PeerReplicationCodec.h"
 
 #include "bulrushrun/core/MessagePack.h"
+#include "bulrushrun/store/CompressedText.h"
 #include "bulrushrun/store/SignedPayload.h"
 
 #include <algorithm>
@@ -13,10 +14,15 @@
 
 /// Longer durations in a request are clamped to this one, which is 24 h.
 constexpr std::uint64_t kMaxMillis = 86'400'000;
-/// Numbers in the query: two versions per table, the staleness and the maximum wait.
+/// Longest value that is decompressed.
+constexpr std::uint64_t kMaxValueBytes = std::uint64_t{ 8 } * 1024 * 1024;
+/// Numbers in the query: two versions per table, the staleness and the maximum wait. Newer
+/// instances append whether they read compressed values; older ones ignore that.
 constexpr std::size_t kRequestNumbers = 2 * kReplicatedTables + 2;
 
-using WireRow = std::tuple<std::string, std::string, std::uint64_t, bool>;
+/// Key, value, version, whether it is removed, and one more than the length of the value if that is
+/// compressed; zero if not, or from an older instance.
+using WireRow = std::tuple<std::string, std::string, std::uint64_t, bool, std::uint64_t>;
 /// Complete version, newest version, rows, version from which removals are known, digest. Items
 /// that an older instance does not send are zero.
 using WireTable =
@@ -27,12 +33,18 @@
 
 WireTable toWire(const TableProgress& aProgress,
                  const std::vector<StoreRow>& aRows,
-                 const ReplicaSummary& aSummary)
+                 const ReplicaSummary& aSummary,
+                 bool aCompress)
 {
   std::vector<WireRow> rows;
   rows.reserve(aRows.size());
   for (const StoreRow& row : aRows) {
-    rows.emplace_back(row.mKey, row.mValue, row.mVersion.value(), row.mRemoved);
+    const bool isCompressed = aCompress && row.mCompressedValue != nullptr;
+    rows.emplace_back(row.mKey,
+                      isCompressed ? *row.mCompressedValue : row.mValue,
+                      row.mVersion.value(),
+                      row.mRemoved,
+                      isCompressed ? row.mValue.size() + 1 : 0);
   }
   return { aProgress.mCompleteVersion.value(),
            aProgress.mNewestVersion.value(),
@@ -41,6 +53,26 @@
            aSummary.mDigest };
 }
 
+/// \returns the row, or nothing when its value can't be decompressed.
+std::optional<StoreRow> fromWire(const WireRow& aWire)
+{
+  const auto& [key, value, version, removed, lengthPlusOne] = aWire;
+  StoreRow row{ key, value, RecordVersion{ version }, removed };
+  if (lengthPlusOne == 0) {
+    return row;
+  }
+  if (lengthPlusOne > kMaxValueBytes) {
+    return std::nullopt;
+  }
+  std::optional<std::string> text = decompressText(value, lengthPlusOne);
+  if (!text || text->size() + 1 != lengthPlusOne) {
+    return std::nullopt;
+  }
+  row.mValue = std::move(*text);
+  row.mCompressedValue = std::make_shared<const std::string>(value);
+  return row;
+}
+
 } // namespace
 
 std::string peerChangesPath(const PeerChangesRequest& aRequest)
@@ -51,7 +83,8 @@
             std::to_string(table.mNewestVersion.value()) + ",";
   }
   return path + std::to_string(toMillis(aRequest.mStaleness)) + "," +
-         std::to_string(toMillis(aRequest.mMaxWait));
+         std::to_string(toMillis(aRequest.mMaxWait)) + "," +
+         (aRequest.mAcceptsCompressed ? "1" : "0");
 }
 
 std::optional<PeerChangesRequest> parsePeerChangesRequest(const std::string& aPath)
@@ -71,6 +104,7 @@
     position = result.ptr == end ? end : result.ptr + 1;
   }
   PeerChangesRequest request;
+  request.mAcceptsCompressed = std::string_view{ position, end } == "1";
   for (std::size_t i = 0; i < kReplicatedTables; ++i) {
     request.mProgress[i] = { RecordVersion{ numbers[2 * i] }, RecordVersion{ numbers[2 * i + 1] } };
   }
@@ -86,7 +120,10 @@
 {
   std::vector<WireTable> tables;
   for (std::size_t i = 0; i < kReplicatedTables; ++i) {
-    tables.push_back(toWire(aChanges.mProgress[i], aChanges.mRows[i], aChanges.mSummaries[i]));
+    tables.push_back(toWire(aChanges.mProgress[i],
+                            aChanges.mRows[i],
+                            aChanges.mSummaries[i],
+                            aChanges.mAcceptsCompressed));
   }
   const std::int64_t held = aChanges.mHeld ? toMillis(*aChanges.mHeld) + 1 : 0;
   const std::string payload =
@@ -112,8 +149,12 @@
     const auto& [complete, newest, rows, removalsKnownFrom, digest] = std::get<1>(*wire)[i];
     changes.mSummaries[i] = { RecordVersion{ removalsKnownFrom }, digest };
     changes.mProgress[i] = { RecordVersion{ complete }, RecordVersion{ newest } };
-    for (const auto& [key, value, version, removed] : rows) {
-      changes.mRows[i].push_back({ key, value, RecordVersion{ version }, removed });
+    for (const WireRow& wireRow : rows) {
+      std::optional<StoreRow> row = fromWire(wireRow);
+      if (!row) {
+        return std::nullopt;
+      }
+      changes.mRows[i].push_back(std::move(*row));
     }
   }
   return changes;
--- a/bulrushrun/store/PeerReplicationCodec.h
+++ b/bulrushrun/store/PeerReplicationCodec.h
@@ -59,6 +59,8 @@
   /// Time for which the responder held the request; empty from instances that do not report it.
   std::optional<Duration> mHeld;
   ReplicationProgress mProgress;
+  /// The requester reads compressed values.
+  bool mAcceptsCompressed = false;
   /// Progress that the request stated; filled in by the requester.
   ReplicationProgress mRequested;
   std::array<ReplicaSummary, kReplicatedTables> mSummaries;
@@ -77,6 +79,8 @@
   Duration mStaleness{ 0 };
   /// Longest time for which the responder may hold the request open (long polling).
   Duration mMaxWait{ 0 };
+  /// The requester reads compressed values; instances of older versions do not.
+  bool mAcceptsCompressed = true;
 };
 
 /// \brief \returns the path and query of a request.
--- a/bulrushrun/store/PeerReplicator.h
+++ b/bulrushrun/store/PeerReplicator.h
@@ -74,7 +74,8 @@
                                  request->mProgress,
                                  now,
                                  now - request->mStaleness,
-                                 now + std::min(request->mMaxWait, kMaxWait) });
+                                 now + std::min(request->mMaxWait, kMaxWait),
+                                 request->mAcceptsCompressed });
     respondToPendingRequests();
     return true;
   }
@@ -93,6 +94,7 @@
         return aPending.mResponder->isDisconnected();
       }
       PeerChanges changes = mCallbacks.mMakePeerChanges(aPending.mProgress);
+      changes.mAcceptsCompressed = aPending.mAcceptsCompressed;
       changes.mHeld = now - aPending.mReceivedAt;
       HttpResponse response;
       response.mHead.mHeaders = { { "Content-Type", "application/octet-stream" } };
@@ -122,6 +124,7 @@
     TimePoint mReceivedAt;
     TimePoint mReplicasCurrentAt;
     TimePoint mExpiresAt;
+    bool mAcceptsCompressed = false;
   };
 
   static bool isAhead(const ReplicationProgress& aLeft, const ReplicationProgress& aRight)
--- a/bulrushrun/store/StoreRow.h
+++ b/bulrushrun/store/StoreRow.h
@@ -2,6 +2,7 @@
 
 #include "bulrushrun/core.h"
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -15,6 +16,9 @@
   std::string mValue;
   RecordVersion mVersion;
   bool mRemoved = false;
+  /// The value as compressText() makes it, kept so that a large one is compressed once for all
+  /// peers; null when it was not compressed.
+  std::shared_ptr<const std::string> mCompressedValue = nullptr;
 };
 
 /// \brief Rows of one table at one version of the store.
--- a/bulrushrun/store/TableReplica.cpp
+++ b/bulrushrun/store/TableReplica.cpp
@@ -1,6 +1,7 @@
 #include "bulrushrun/store/TableReplica.h"
 
 #include "bulrushrun/core/Hash.h"
+#include "bulrushrun/store/CompressedText.h"
 
 #include <algorithm>
 #include <set>
@@ -9,6 +10,9 @@
 
 namespace {
 
+/// Values of at least this size are compressed for peers.
+constexpr std::size_t kMinCompressedBytes = 4096;
+
 std::uint64_t digestOf(const StoreRow& aRow)
 {
   return aRow.mRemoved ? 0 : combineHashes(hashText(aRow.mKey), aRow.mVersion.value());
@@ -20,6 +24,9 @@
 {
   mDigest += digestOf(aRow) - digestOf(aKnown);
   aKnown = aRow;
+  if (aKnown.mValue.size() >= kMinCompressedBytes && aKnown.mCompressedValue == nullptr) {
+    aKnown.mCompressedValue = std::make_shared<const std::string>(compressText(aKnown.mValue));
+  }
   mNewestVersion = std::max(mNewestVersion, aRow.mVersion);
 }
 
--- a/bulrushrun/store/tests/PeerReplicationCodecTest.cpp
+++ b/bulrushrun/store/tests/PeerReplicationCodecTest.cpp
@@ -1,5 +1,7 @@
 #include "bulrushrun/store/PeerReplicationCodec.h"
 
+#include "bulrushrun/store/CompressedText.h"
+
 #include <gtest/gtest.h>
 
 namespace bulrushrun {
@@ -38,6 +40,61 @@
   }
 }
 
+/// \returns changes with one row of a large value, as a replica keeps it.
+PeerChanges makeLargeChanges(const std::string& aValue)
+{
+  TableReplica replica;
+  replica.apply({ { "k", aValue, RecordVersion{ 7 } } }, RecordVersion{ 7 });
+  PeerChanges changes;
+  changes.mRows[0] = replica.changesSince(RecordVersion{});
+  return changes;
+}
+
+/// Guards against large values that fill slow links, and against values that arrive changed.
+TEST(PeerReplicationCodecTest, LargeValueIsSentCompressedToARequesterThatReadsIt)
+{
+  std::string value;
+  for (int i = 0; i < 5000; ++i) {
+    value += "route " + std::to_string(i) + ",";
+  }
+  PeerChanges changes = makeLargeChanges(value);
+  const std::string plain = encodePeerChanges(changes, "key");
+  changes.mAcceptsCompressed = true;
+  const std::string compressed = encodePeerChanges(changes, "key");
+  EXPECT_GT(plain.size(), value.size()) << "a requester of an older version";
+  EXPECT_LT(compressed.size(), value.size() / 3);
+  for (const std::string& bytes : { plain, compressed }) {
+    const std::optional<PeerChanges> decoded = decodePeerChanges(bytes, { "key" });
+    ASSERT_TRUE(decoded);
+    ASSERT_EQ(decoded->mRows[0].size(), 1U);
+    EXPECT_EQ(decoded->mRows[0][0].mValue, value);
+  }
+}
+
+/// Guards against a value that decompresses to more, or less, than it states.
+TEST(CompressedTextTest, RestoresOnlyWholeTextsWithinTheLimit)
+{
+  const std::string text(100'000, 'x');
+  const std::string bytes = compressText(text);
+  EXPECT_LT(bytes.size(), text.size() / 100);
+  EXPECT_EQ(decompressText(bytes, text.size() + 1), text);
+  EXPECT_FALSE(decompressText(bytes, text.size() - 1));
+  EXPECT_FALSE(decompressText(bytes + "x", text.size() + 1));
+  for (std::size_t length = 0; length < bytes.size(); ++length) {
+    EXPECT_FALSE(decompressText(bytes.substr(0, length), text.size() + 1)) << length;
+  }
+  EXPECT_EQ(decompressText(compressText(""), 1), "");
+}
+
+TEST(PeerChangesRequestTest, InstanceOfAnOlderVersionReadsNoCompressedValues)
+{
+  const std::optional<PeerChangesRequest> request =
+    parsePeerChangesRequest("/peer/news?1,2,3,4,5,6");
+  ASSERT_TRUE(request);
+  EXPECT_FALSE(request->mAcceptsCompressed);
+  EXPECT_TRUE(parsePeerChangesRequest(peerChangesPath({}))->mAcceptsCompressed);
+}
+
 TEST(PeerChangesRequestTest, IsParsedAsEncoded)
 {
   PeerChangesRequest request;
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -3,7 +3,7 @@
 set -eu
 packages="g++ cmake ninja-build ccache pkg-config clang-format clang-tidy cppcheck \
   libh2o-evloop-dev libhttp-parser-dev libyaml-cpp-dev libabsl-dev liblog4cxx-dev \
-  libmsgpack-cxx-dev nlohmann-json3-dev libboost-dev libssl-dev libgtest-dev libbenchmark-dev"
+  libmsgpack-cxx-dev nlohmann-json3-dev libboost-dev libssl-dev zlib1g-dev libgtest-dev libbenchmark-dev"
 missing=""
 for package in $packages; do
   dpkg-query -W -f='${Status}' "$package" 2> /dev/null | grep -q 'ok installed' || missing="$missing $package"
