Requests whose callers have left are not sent

Cause: whether a caller is still there was looked at only every 150 ms, by a timer that runs after the sockets' events. An instance that stood still for longer (a tenth of a core, a large configuration, a full link) then read requests whose callers had closed meanwhile, or got connections that such requests waited for, and sent them on at once; the same for a second attempt. Same class elsewhere: StartupQueue looked already.

--- a/bulrushrun/net/HttpConnection.cpp
+++ b/bulrushrun/net/HttpConnection.cpp
@@ -190,7 +190,12 @@
   connection->mConnected = true;
   connection->mLoop.cancelTimer(connection->mConnectTimer);
   h2o_socket_read_start(aSocket, onRead);
-  if (connection->mExchangeInProgress) {
+  if (!connection->mExchangeInProgress) {
+    return;
+  }
+  // A copy, because an abort discards the listener.
+  const std::function<bool()> beforeSend = connection->mListener.mBeforeSend;
+  if (!beforeSend || beforeSend()) {
     connection->send();
   }
 }
--- a/bulrushrun/net/tests/ConnectTimeoutTest.cpp
+++ b/bulrushrun/net/tests/ConnectTimeoutTest.cpp
@@ -72,5 +72,38 @@
   loop.run();
 }
 
+/// Guards against writing a request that was given up while its connection was being established,
+/// and against using the connection after the abort.
+TEST(BeforeSendTest, ExchangeAbortedThereWritesNothing)
+{
+  EventLoop loop;
+  constexpr Endpoint kServer{ 0x7f000001, 18791 };
+  int requests = 0;
+  HttpServer server{ loop, kServer, { nullptr, [&](const HttpRequest&, const auto& aResponder) {
+                                       ++requests;
+                                       respond(*aResponder, { { 200, {}, std::nullopt }, "" });
+                                     } } };
+  HttpClient client{ loop };
+  ExchangeId aborted;
+  int ended = 0;
+  ExchangeListener listener;
+  listener.mOnEnd = [&](ExchangeResult, const std::string&) { ++ended; };
+  listener.mBeforeSend = [&] {
+    client.abort(aborted);
+    return false;
+  };
+  aborted = client.start(kServer, { "GET", "/", {}, "" }, ConnectionUse::Pooled, listener);
+  loop.after(std::chrono::milliseconds(100), [&] { loop.stop(); });
+  loop.run();
+  EXPECT_EQ(requests, 0);
+  EXPECT_EQ(ended, 0);
+  listener.mBeforeSend = [] { return true; };
+  client.start(kServer, { "GET", "/", {}, "" }, ConnectionUse::Pooled, listener);
+  loop.after(std::chrono::milliseconds(100), [&] { loop.stop(); });
+  loop.run();
+  EXPECT_EQ(requests, 1);
+  EXPECT_EQ(ended, 1);
+}
+
 } // namespace
 } // namespace bulrushrun
--- a/bulrushrun/steering/RequestProxy.h
+++ b/bulrushrun/steering/RequestProxy.h
@@ -146,6 +146,7 @@
   bool exceedsLimits(const HttpRequest& aRequest, ResponderType& aResponder);
   void setCallerCallbacks(Request& aRequest);
   void onCallerDisconnected(RequestId aId);
+  bool endIfCallerLeft(Request& aRequest);
 
   // Actions of the state machine.
   void apply(RequestId aId, RequestEvent aEvent);
--- a/bulrushrun/steering/RequestProxyActions.h
+++ b/bulrushrun/steering/RequestProxyActions.h
@@ -97,6 +97,9 @@
 template<class HostType, class Codec>
 void RequestProxy<HostType, Codec>::dispatch(Request& aRequest)
 {
+  if (endIfCallerLeft(aRequest)) {
+    return;
+  }
   const TimePoint now = mHost.now();
   const PickResult pick = mPicker.pick(makePickQuery(aRequest),
                                        mSteeringState.mTargets.usable(aRequest.mService, now),
--- a/bulrushrun/steering/RequestProxyAdmission.h
+++ b/bulrushrun/steering/RequestProxyAdmission.h
@@ -157,6 +157,18 @@
   apply(aId, RequestEvent::CallerDisconnected);
 }
 
+/// Ends the request if its caller has disconnected, which sweep() may not have seen yet: a busy
+/// instance reads requests and connects to targets late. \returns true when the request was ended
+template<class HostType, class Codec>
+bool RequestProxy<HostType, Codec>::endIfCallerLeft(Request& aRequest)
+{
+  const bool isGone = aRequest.mResponder->isDisconnected();
+  if (isGone) {
+    onCallerDisconnected(aRequest.mId);
+  }
+  return isGone;
+}
+
 template<class HostType, class Codec>
 void RequestProxy<HostType, Codec>::sweep()
 {
--- a/bulrushrun/steering/RequestProxyOrigin.h
+++ b/bulrushrun/steering/RequestProxyOrigin.h
@@ -12,6 +12,10 @@
 {
   ExchangeListener listener;
   listener.mBodyMayEndAtClose = true;
+  listener.mBeforeSend = [this, aId] {
+    Request* request = find(aId);
+    return request == nullptr || !endIfCallerLeft(*request);
+  };
   listener.mIsMatchingResponse = [this, aId](const ResponseHead& aHead) {
     const Request* request = find(aId);
     return request == nullptr || isMatching(*request, aHead);
--- a/bulrushrun/steering/tests/FleetSimulation.cpp
+++ b/bulrushrun/steering/tests/FleetSimulation.cpp
@@ -123,6 +123,10 @@
     return;
   }
   const Endpoint to = found->second.mTo;
+  const std::function<bool()> beforeSend = found->second.mListener.mBeforeSend;
+  if (beforeSend && !beforeSend()) {
+    return;
+  }
   if (to == kStoreEndpoint) {
     deliverToStore(aExchange);
   } else if (SimulatedNode* simulatedNode = nodeAt(to.mAddress)) {
