A target's limit of requests a second holds for all instances together

Cause: Server-Limit was not read. It counts until a signed answer, or one that turns a request away, names none; an unreadable value changes nothing; another incarnation starts without it. What finds no room goes to other targets, else it is refused at once. Ruled out: equal parts of the rate, and quotas by zone (docs/DESIGN.md).

--- a/bulrushrun/host/EventCatalogue.h
+++ b/bulrushrun/host/EventCatalogue.h
@@ -52,6 +52,7 @@
 inline constexpr Event kPlacementsNotLoaded{ 5013, Severity::Info, "placements-not-loaded" };
 inline constexpr Event kTargetHeaderIgnored{ 5014, Severity::Warn, "target-header-ignored" };
 inline constexpr Event kTargetResting{ 5015, Severity::Info, "target-resting" };
+inline constexpr Event kTargetRateLimited{ 5016, Severity::Info, "target-rate-limited" };
 inline constexpr Event kMemberJoined{ 6001, Severity::Info, "member-joined" };
 inline constexpr Event kMemberSuspected{ 6002, Severity::Debug, "member-suspected" };
 inline constexpr Event kMemberDead{ 6003, Severity::Warn, "member-dead" };
@@ -79,7 +80,7 @@
   kLookupRefused,        kTargetZoneUnknown,    kObjectPlaced,         kPlacementsUnreadable,
   kPlacementsLoaded,     kPlacementsNotSaved,   kPlacementsNotLoaded,  kRowsAdopted,
   kRowsUnreadable,       kReplicaDiverged,      kTargetHeaderIgnored,  kTargetResting,
-  kTransferInterrupted
+  kTransferInterrupted,  kTargetRateLimited
 };
 
 } // namespace bulrushrun::events
--- a/bulrushrun/limits/ColdTargetRateLimiter.h
+++ b/bulrushrun/limits/ColdTargetRateLimiter.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "bulrushrun/core.h"
-#include "bulrushrun/limits/ColdTargetQuota.h"
+#include "bulrushrun/limits/TargetQuota.h"
 
 #include <deque>
 #include <map>
@@ -28,7 +28,7 @@
   bool admit(const TargetId& aTarget,
              std::uint64_t aTargetHash,
              double aFleetLimit,
-             const ColdTargetQuota& aQuota,
+             const TargetQuota& aQuota,
              TimePoint aNow)
   {
     std::deque<TimePoint>& sendTimes = mSendTimes[aTarget];
--- a/bulrushrun/limits/ColdTargetQuota.h
+++ b/bulrushrun/limits/TargetQuota.h
@@ -7,22 +7,21 @@
 
 namespace bulrushrun {
 
-/// \brief Quota of one instance within the rate limits on cold targets that all instances of its
-/// zone share.
+/// \brief Quota of one instance within limits on requests to a target that several instances share.
 ///
 /// A limit is divided into whole requests; the remainder goes to the instances that are first in
 /// the rendezvous order for the target. Thus a limit smaller than the number of instances still
 /// lets some of them send, different ones for each target, and the sum of the quotas does not
 /// exceed the limit, without coordination between instances.
-class ColdTargetQuota
+class TargetQuota
 {
 public:
   /// \brief Creates the quota of an instance that does not know the other instances: always zero.
-  ColdTargetQuota() = default;
+  TargetQuota() = default;
   /// \param aSelf  hash of the identity of this instance
-  /// \param aInstances  hashes of the identities of all instances of the zone that may send, this
-  /// one included
-  ColdTargetQuota(std::uint64_t aSelf, std::vector<std::uint64_t> aInstances)
+  /// \param aInstances  hashes of the identities of all instances that may send, this one
+  /// included
+  TargetQuota(std::uint64_t aSelf, std::vector<std::uint64_t> aInstances)
     : mSelf(aSelf)
     , mInstances(std::move(aInstances))
   {
@@ -46,6 +45,9 @@
     return wholeRequests / mInstances.size() + (higherScores < remainder ? 1 : 0);
   }
 
+  /// \brief \returns the number of instances that share the limits.
+  std::size_t instances() const { return mInstances.size(); }
+
 private:
   std::uint64_t mSelf = 0;
   std::vector<std::uint64_t> mInstances;
--- a/bulrushrun/limits/tests/FleetQuotasTest.cpp
+++ b/bulrushrun/limits/tests/FleetQuotasTest.cpp
@@ -106,7 +106,7 @@
 {
   std::size_t sum = 0;
   for (const std::uint64_t self : aInstances) {
-    sum += ColdTargetQuota{ self, aInstances }.quota(aTarget, aLimit);
+    sum += TargetQuota{ self, aInstances }.quota(aTarget, aLimit);
   }
   return sum;
 }
@@ -137,7 +137,7 @@
     std::size_t sum = 0;
     for (const std::uint64_t self : all) {
       const bool lost = random.below(3) == 0;
-      sum += lost ? 0 : ColdTargetQuota{ self, all }.quota(kTarget, 13.5);
+      sum += lost ? 0 : TargetQuota{ self, all }.quota(kTarget, 13.5);
     }
     EXPECT_LE(sum, 13U) << size;
   }
@@ -153,9 +153,9 @@
     for (std::size_t informed = 0; informed <= size; ++informed) {
       std::size_t sum = 0;
       for (std::size_t i = 0; i < size; ++i) {
-        sum += ColdTargetQuota{ before[i], i < informed ? after : before }.quota(kTarget, 13.5);
+        sum += TargetQuota{ before[i], i < informed ? after : before }.quota(kTarget, 13.5);
       }
-      sum += informed == size ? ColdTargetQuota{ after.back(), after }.quota(kTarget, 13.5) : 0;
+      sum += informed == size ? TargetQuota{ after.back(), after }.quota(kTarget, 13.5) : 0;
       EXPECT_LE(sum, 13U) << size << " instances, " << informed << " of them informed";
     }
   }
--- a/bulrushrun/steering.h
+++ b/bulrushrun/steering.h
@@ -16,6 +16,9 @@
 #include "bulrushrun/steering/LoadReport.h"
 #include "bulrushrun/steering/LoadReportExchange.h"
 #include "bulrushrun/steering/LoadReportMessage.h"
+// Rates that targets named, shared between instances.
+#include "bulrushrun/steering/TargetRateAnnouncer.h"
+#include "bulrushrun/steering/TargetRateMessage.h"
 // Requests in progress.
 #include "bulrushrun/steering/ProxiedRequest.h"
 #include "bulrushrun/steering/RequestProxy.h"
--- a/bulrushrun/steering/MessageMetadata.h
+++ b/bulrushrun/steering/MessageMetadata.h
@@ -43,6 +43,8 @@
   std::optional<Duration> mColdRemaining;
   /// For how long the target, which turned the request away, wants no requests.
   std::optional<Duration> mRestTime;
+  /// Requests per second that the target takes from all instances together.
+  std::optional<double> mRateLimit;
   /// Which headers were ignored as invalid, and why, for the log; empty when none were.
   std::string mIgnored;
 };
--- a/bulrushrun/steering/PickQuery.h
+++ b/bulrushrun/steering/PickQuery.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "bulrushrun/discovery.h"
-#include "bulrushrun/limits/ColdTargetQuota.h"
+#include "bulrushrun/limits/TargetQuota.h"
 #include "bulrushrun/routing/ZoneTopology.h"
 
 #include <set>
@@ -45,7 +45,9 @@
   /// Zones whose targets must get no requests.
   std::set<ZoneName> mEvacuated;
   /// This instance's quota of the rate limit on cold targets of its zone.
-  ColdTargetQuota mColdTargetQuota;
+  TargetQuota mColdTargetQuota;
+  /// This instance's quota of the rates that targets named, among all instances.
+  TargetQuota mFleetQuota;
 };
 
 /// \brief A target with the criteria by which it is chosen.
--- a/bulrushrun/steering/ProxiedRequest.h
+++ b/bulrushrun/steering/ProxiedRequest.h
@@ -62,6 +62,7 @@
   /// Inputs of the last choice of a target, for the log.
   std::size_t mUsable = 0;
   std::size_t mColdLimited = 0;
+  std::size_t mRateLimited = 0;
   double mLoad = 0;
   std::size_t mPreferenceRank = 0;
   /// Why the last attempt failed or none was made, for the log.
--- a/bulrushrun/steering/RequestProxy.h
+++ b/bulrushrun/steering/RequestProxy.h
@@ -6,6 +6,7 @@
 #include "bulrushrun/steering/ProxiedRequest.h"
 #include "bulrushrun/steering/RunTimeEstimate.h"
 #include "bulrushrun/steering/TargetPicker.h"
+#include "bulrushrun/steering/TargetRateMessage.h"
 
 #include <functional>
 #include <map>
@@ -108,6 +109,13 @@
       mPicker.stats(aLoad.mTarget).onReport(aLoad.mRequests, mHost.now());
     }
   }
+  /// \brief Sets the callback for rates that targets named, changed or no longer name.
+  void setOnTargetRate(std::function<void(const TargetRate&)> aOnTargetRate)
+  {
+    mOnTargetRate = std::move(aOnTargetRate);
+  }
+  /// \brief Takes the rate of a target that another instance learned.
+  void onPeerRate(const TargetRate& aRate);
   PlacementTable& placements() { return mPicker.placements(); }
 
 private:
@@ -170,6 +178,8 @@
   void onHead(RequestId aId, const ResponseHead& aHead);
   void reportTargetUpdate(Request& aRequest);
   void startRest(const TargetAttempt& aAttempt);
+  void updateRateLimit(const Request& aRequest);
+  void logRateLimit(const TargetRate& aRate, const char* aSource);
   bool onBody(RequestId aId, std::string_view aBytes);
   void onEnd(RequestId aId, ExchangeResult aEnd, const std::string& aReason);
   void onComplete(Request& aRequest);
@@ -207,6 +217,7 @@
   std::function<void(const TargetAttempt&)> mOnTargetUpdate;
   std::function<void(const Placement&)> mOnPlaced;
   std::function<void(const TargetId&, const LoadReport&)> mOnLoadReport;
+  std::function<void(const TargetRate&)> mOnTargetRate;
   RequestProxyCounters mCounters;
   ServiceMetrics mMetrics;
   RequestId mLastId;
--- a/bulrushrun/steering/RequestProxyActions.h
+++ b/bulrushrun/steering/RequestProxyActions.h
@@ -107,6 +107,7 @@
                                        now);
   aRequest.mUsable = pick.mUsable;
   aRequest.mColdLimited = pick.mColdLimited;
+  aRequest.mRateLimited = pick.mRateLimited;
   aRequest.mLoad = pick.mLoad;
   aRequest.mPreferenceRank = pick.mPreferenceRank;
   if (pick.mPlaced) {
@@ -279,6 +280,7 @@
               " place=" + std::to_string(aRequest.mPreferenceRank) + " load=" + load.data() +
               " usable=" + std::to_string(aRequest.mUsable) +
               " cold_limited=" + std::to_string(aRequest.mColdLimited) +
+              " rate_limited=" + std::to_string(aRequest.mRateLimited) +
               " news_age_ms=" + std::to_string(toMillis(now - mSteeringState.mSyncedAt)) +
               " sends=" + std::to_string(aRequest.mAttempts) + " outcome=" + aOutcome + " status=" +
               std::to_string(aStatus) + " ms=" + std::to_string(toMillis(now - aRequest.mArrived)) +
--- a/bulrushrun/steering/RequestProxyTargetUpdates.h
+++ b/bulrushrun/steering/RequestProxyTargetUpdates.h
@@ -26,6 +26,60 @@
   if (metadata.mRestTime) {
     startRest(attempt);
   }
+  updateRateLimit(aRequest);
+}
+
+/// A target says in each of its responses which rate it takes; one without a rate ends the limit.
+template<class HostType, class Codec>
+void RequestProxy<HostType, Codec>::updateRateLimit(const Request& aRequest)
+{
+  const TargetAttempt& attempt = *aRequest.mAttempt;
+  const std::optional<double>& rate = attempt.mMetadata.mRateLimit;
+  // Only the target itself ends its limit, not an intermediary that answers in its place, and not
+  // by a header that can't be read.
+  const bool mayEndLimit =
+    (attempt.mMetadata.mSigned || isDeclined(aRequest)) && attempt.mMetadata.mIgnored.empty();
+  if (attempt.mMetadata.mMisdirected || (!rate && !mayEndLimit)) {
+    return;
+  }
+  TargetRateLimiter& limiter = mPicker.rateLimiter();
+  const bool isChanged =
+    rate ? limiter.setLimit(
+             attempt.mTarget, attempt.mIncarnation, *rate, mHost.random().unit(), mHost.now())
+         : limiter.onNoLimit(attempt.mTarget, attempt.mStarted);
+  if (isChanged) {
+    const TargetRate targetRate{ attempt.mTarget, attempt.mIncarnation, rate };
+    logRateLimit(targetRate, "response");
+    if (mOnTargetRate) {
+      mOnTargetRate(targetRate);
+    }
+  }
+}
+
+template<class HostType, class Codec>
+void RequestProxy<HostType, Codec>::onPeerRate(const TargetRate& aRate)
+{
+  const KnownTarget* target = mSteeringState.mTargets.find(aRate.mTarget);
+  if (target == nullptr || target->mEntry.mIncarnation != aRate.mIncarnation) {
+    return;
+  }
+  TargetRateLimiter& limiter = mPicker.rateLimiter();
+  const bool isChanged =
+    aRate.mRate
+      ? limiter.setLimit(
+          aRate.mTarget, aRate.mIncarnation, *aRate.mRate, mHost.random().unit(), mHost.now())
+      : limiter.onNoLimit(aRate.mTarget, mHost.now());
+  if (isChanged) {
+    logRateLimit(aRate, "peer");
+  }
+}
+
+template<class HostType, class Codec>
+void RequestProxy<HostType, Codec>::logRateLimit(const TargetRate& aRate, const char* aSource)
+{
+  mHost.log(events::kTargetRateLimited,
+            "target=" + aRate.mTarget.text() + " source=" + aSource +
+              " per_second=" + (aRate.mRate ? std::to_string(*aRate.mRate) : "unlimited"));
 }
 
 /// The rest begins with the head of the response. One that an earlier incarnation asked for says
--- a/bulrushrun/steering/SteeringInstance.h
+++ b/bulrushrun/steering/SteeringInstance.h
@@ -9,6 +9,7 @@
 #include "bulrushrun/steering/RequestProxy.h"
 #include "bulrushrun/steering/StartupQueue.h"
 #include "bulrushrun/steering/SteeringSettings.h"
+#include "bulrushrun/steering/TargetRateAnnouncer.h"
 #include "bulrushrun/store.h"
 
 #include <array>
@@ -171,7 +172,9 @@
   std::string ownRegistration() const;
   void joinGossipWhenReady();
   void updateMembership();
-  ColdTargetQuota coldTargetQuota(const std::vector<Member>& aMembers) const;
+  TargetQuota coldTargetQuota(const std::vector<Member>& aMembers) const;
+  TargetQuota fleetQuota(const std::vector<Member>& aMembers) const;
+  TargetQuota quotaAmong(const std::set<std::string>& aInstances) const;
   std::vector<Endpoint> selectInstances(const LookupQuery& aQuery) const;
 
   void respondToLookup(const HttpRequest& aRequest, const ResponderPtr& aResponder);
@@ -199,12 +202,14 @@
   PlacementAnnouncer<HostType> mPlacementAnnouncer;
   PlacementArchive<HostType, StoreProtocol> mPlacementArchive;
   LoadReportExchange<HostType> mLoadReports;
+  TargetRateAnnouncer<HostType> mTargetRates;
   DrainSequence<HostType> mDrain;
   std::unique_ptr<Gossip<HostType>> mGossip;
   ReplicationRoles mReplicationRoles;
-  /// Registrations read at the start: peers, instances of this zone, and whether this instance was
-  /// registered before.
+  /// Registrations read at the start: peers, all instances, those of this zone, and whether this
+  /// instance was registered before.
   std::vector<Endpoint> mStoredPeers;
+  std::set<std::string> mRegisteredInstances;
   std::set<std::string> mRegisteredInZone;
   bool mWasRegistered = false;
   /// The row of the previous incarnation equals the one that this incarnation would write.
--- a/bulrushrun/steering/SteeringInstanceMembership.h
+++ b/bulrushrun/steering/SteeringInstanceMembership.h
@@ -15,7 +15,8 @@
            [this](const LeavingNotice& aNotice) { onLeavingNotice(aNotice); },
            [this] { return mLeavingNotices.next(mHost.now()); },
            [this](std::string_view aPayload) {
-             return mPlacementAnnouncer.receive(aPayload) || mLoadReports.receive(aPayload);
+             return mPlacementAnnouncer.receive(aPayload) || mLoadReports.receive(aPayload) ||
+                    mTargetRates.receive(aPayload);
            } };
 }
 
@@ -113,6 +114,7 @@
     const std::optional<Endpoint> peer = parseEndpoint(row.mValue.substr(0, space));
     const bool self = row.mKey == mSettings.mInstance.text();
     mWasRegistered = mWasRegistered || self;
+    mRegisteredInstances.insert(row.mKey);
     mRegistrationCurrent = mRegistrationCurrent || (self && row.mValue == ownRegistration());
     if (row.mValue.substr(space) == " " + mSettings.mZone.text()) {
       mRegisteredInZone.insert(row.mKey);
@@ -147,6 +149,7 @@
   mPlacementAnnouncer.join(*mGossip);
   mPlacementArchive.join(*mGossip);
   mLoadReports.join(*mGossip);
+  mTargetRates.join(*mGossip);
   updateMembership();
 }
 
@@ -206,6 +209,7 @@
   // Members considered dead may only be partitioned, and still make attempts.
   mSteeringState.mInstanceCount = std::max<std::size_t>(members.size(), 1);
   mSteeringState.mContext.mColdTargetQuota = coldTargetQuota(members);
+  mSteeringState.mContext.mFleetQuota = fleetQuota(members);
   ReplicationRoles roles = assignReplicationRoles(members, mSettings.mRegions, mSettings.mZone);
   if (!sameAssignment(roles, mReplicationRoles)) {
     mPeerReplication.resetPeer();
@@ -214,7 +218,7 @@
 }
 
 template<class HostType, class Adapter>
-ColdTargetQuota SteeringInstance<HostType, Adapter>::coldTargetQuota(
+TargetQuota SteeringInstance<HostType, Adapter>::coldTargetQuota(
   const std::vector<Member>& aMembers) const
 {
   const Duration registeredFor = mHost.now() - mRegisteredAt;
@@ -231,9 +235,31 @@
       instancesInZone.insert(member.mId.text());
     }
   }
+  return quotaAmong(instancesInZone);
+}
+
+/// Instances considered dead count, too: they may only be partitioned, and still send.
+template<class HostType, class Adapter>
+TargetQuota SteeringInstance<HostType, Adapter>::fleetQuota(
+  const std::vector<Member>& aMembers) const
+{
+  std::set<std::string> instances;
+  if (mHost.now() - mRegisteredAt < kGossipSettleTime) {
+    instances = mRegisteredInstances;
+  }
+  for (const Member& member : aMembers) {
+    instances.insert(member.mId.text());
+  }
+  return quotaAmong(instances);
+}
+
+template<class HostType, class Adapter>
+TargetQuota SteeringInstance<HostType, Adapter>::quotaAmong(
+  const std::set<std::string>& aInstances) const
+{
   std::vector<std::uint64_t> hashes;
-  hashes.reserve(instancesInZone.size());
-  for (const std::string& instance : instancesInZone) {
+  hashes.reserve(aInstances.size());
+  for (const std::string& instance : aInstances) {
     hashes.push_back(hashText(instance));
   }
   return { hashText(mSettings.mInstance.text()), std::move(hashes) };
--- a/bulrushrun/steering/SteeringInstanceTables.h
+++ b/bulrushrun/steering/SteeringInstanceTables.h
@@ -67,6 +67,7 @@
   , mLoadReports(aHost,
                  mSteeringState.mContext.mZones,
                  [this](const TargetLoad& aLoad) { mProxy.onPeerLoad(aLoad); })
+  , mTargetRates(aHost, [this](const TargetRate& aRate) { mProxy.onPeerRate(aRate); })
   , mDrain(aHost, drainCallbacks(std::move(aOnExit)))
 {
   mSteeringState.mContext.mZones = ZoneTopology{ mSettings.mZone, mSettings.mRegions };
@@ -75,6 +76,7 @@
   mProxy.setOnLoadReport([this](const TargetId& aTarget, const LoadReport& aReport) {
     mLoadReports.onReport(aTarget, aReport);
   });
+  mProxy.setOnTargetRate([this](const TargetRate& aRate) { mTargetRates.announce(aRate); });
   mProxy.setOnPlaced(
     [this](const Placement& aPlacement) { mPlacementAnnouncer.announce(aPlacement); });
 }
--- a/bulrushrun/steering/TargetPicker.cpp
+++ b/bulrushrun/steering/TargetPicker.cpp
@@ -164,13 +164,22 @@
       if (order[i].mLoad + 1 > pass.mMaxLoadFactor * target.mEntry.mSlots) {
         continue;
       }
-      if (admitsIfCold(target, aQuery, aContext, aNow)) {
-        result.mTarget = &target;
-        result.mLoad = order[i].mLoad;
-        result.mPreferenceRank = i + 1;
-        return result;
+      if (!admitsIfCold(target, aQuery, aContext, aNow)) {
+        ++result.mColdLimited;
+        continue;
+      }
+      if (!mRateLimiter.admit(target.mEntry.mId,
+                              target.mHash,
+                              target.mEntry.mIncarnation,
+                              aContext.mFleetQuota,
+                              aNow)) {
+        ++result.mRateLimited;
+        continue;
       }
-      ++result.mColdLimited;
+      result.mTarget = &target;
+      result.mLoad = order[i].mLoad;
+      result.mPreferenceRank = i + 1;
+      return result;
     }
   }
   result.mFailure = PickFailure::AllBusy;
@@ -204,6 +213,7 @@
                          !aEntry.second.isResting(aNow);
     if (unknown) {
       mColdRateLimiter.forget(aEntry.first);
+      mRateLimiter.forget(aEntry.first);
     }
     return unknown;
   });
--- a/bulrushrun/steering/TargetPicker.h
+++ b/bulrushrun/steering/TargetPicker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bulrushrun/limits/ColdTargetRateLimiter.h"
+#include "bulrushrun/limits/TargetRateLimiter.h"
 #include "bulrushrun/steering/ObjectPlacer.h"
 #include "bulrushrun/steering/PickQuery.h"
 #include "bulrushrun/steering/TargetStats.h"
@@ -45,6 +46,8 @@
   std::size_t mUsable = 0;
   /// Cold targets skipped because this instance's quota was used up.
   std::size_t mColdLimited = 0;
+  /// Targets skipped because this instance's quota of the rate that they named was used up.
+  std::size_t mRateLimited = 0;
   double mLoad = 0;
   /// Position of the target in the order of preference, from 1; 0 if none was picked.
   std::size_t mPreferenceRank = 0;
@@ -65,7 +68,8 @@
 class TargetPicker
 {
 public:
-  /// \brief Chooses a target, and counts it against the quota if the target is cold.
+  /// \brief Chooses a target, and counts it against the quotas if the target is cold or has named a
+  /// rate.
   PickResult pick(const PickQuery& aQuery,
                   const std::vector<const KnownTarget*>& aUsable,
                   const PickContext& aContext,
@@ -73,6 +77,8 @@
 
   /// \brief \returns the load and health statistics of a target.
   TargetStats& stats(const TargetId& aTarget) { return mStats[aTarget]; }
+  /// \brief \returns the rates that targets named.
+  TargetRateLimiter& rateLimiter() { return mRateLimiter; }
   /// \brief \returns the targets at which objects are placed.
   PlacementTable& placements() { return mPlacer.placements(); }
   /// \brief \returns the earliest end of a rest, if all targets that may serve the request rest.
@@ -135,6 +141,7 @@
 
   std::map<TargetId, TargetStats> mStats;
   ColdTargetRateLimiter mColdRateLimiter;
+  TargetRateLimiter mRateLimiter;
   ObjectPlacer mPlacer;
 };
 
--- a/bulrushrun/steering/tests/TargetLimitTest.cpp
+++ b/bulrushrun/steering/tests/TargetLimitTest.cpp
@@ -107,6 +107,47 @@
   }
 }
 
+/// Guards against a limit that outlives the target's need, at instances without a quota, too.
+TEST_P(TargetLimitTest, EndsWhenResponsesNoLongerNameIt)
+{
+  mLimit = "2";
+  play(std::chrono::seconds(10));
+  mLimit.reset();
+  play(std::chrono::seconds(60));
+  const TimePoint since = mSimulation.now();
+  play(std::chrono::seconds(10));
+  EXPECT_GT(arrivalsSince(since), 80U);
+}
+
+/// Guards against a limit that a target inherits from its earlier incarnation under the same id.
+TEST_P(TargetLimitTest, EndsWithTheIncarnationThatNamedIt)
+{
+  mLimit = "0";
+  play(std::chrono::seconds(8));
+  mLimit.reset();
+  mSimulation.putTarget("t1", "ready", 40, 0, "zb", 2);
+  mSimulation.run(std::chrono::seconds(8));
+  const TimePoint since = mSimulation.now();
+  play(std::chrono::seconds(10));
+  EXPECT_GT(arrivalsSince(since), 80U);
+}
+
+/// Guards against a limit that is taken from, or lifted by, a header that can't be read.
+TEST_P(TargetLimitTest, UnreadableValueChangesNothing)
+{
+  mLimit = "2";
+  play(std::chrono::seconds(6));
+  for (const char* value : { "many", "-1", "nan", "inf", "1e", "", "3,5" }) {
+    mLimit = value;
+    play(std::chrono::seconds(4));
+  }
+  EXPECT_LE(mostInWindow(mSimulation.now() - std::chrono::seconds(20)), 1.5 * 2 * 4 + 5);
+  mLimit = "1e400";
+  const TimePoint since = mSimulation.now();
+  play(std::chrono::seconds(70));
+  EXPECT_GT(arrivalsSince(since), 300U) << "a rate beyond all numbers limits nothing";
+}
+
 INSTANTIATE_TEST_SUITE_P(Instances, TargetLimitTest, ::testing::Values(4, 10, 40));
 
 } // namespace
--- a/ctl/Trace.cpp
+++ b/ctl/Trace.cpp
@@ -132,6 +132,11 @@
       usable + " targets were eligible, but " + aEnd.field("cold_limited") +
       " times a target was skipped because it is cold and this instance's quota of "
       "requests to cold targets was exhausted.");
+  } else if (aEnd.number("rate_limited") > 0) {
+    aConclusions.push_back(
+      usable + " targets were eligible, but " + aEnd.field("rate_limited") +
+      " times a target was skipped because it named a limit of requests per second and this "
+      "instance's quota of it was exhausted.");
   } else {
     aConclusions.push_back("All " + usable + " eligible targets had full queues.");
   }
