Single requests of instances without a quota are rarer

The instances without a quota could send a quarter of the rate together, each within 2 s of its turn, and more of these requests than expected can meet one window. Change: a tenth of the rate, within 1 s. Changes of a rate are gossiped, so these requests are only for what gossip lost.

--- a/bulrushrun/host/Http.h
+++ b/bulrushrun/host/Http.h
@@ -87,8 +87,8 @@
 {
   /// A response body without a length may be delimited by the end of the connection.
   bool mBodyMayEndAtClose = false;
-  /// Runs before the request is written to a new connection, which may have taken long to establish.
-  /// \returns false when the exchange was aborted instead; may be empty.
+  /// Runs before the request is written to a new connection, which may have taken long to
+  /// establish. \returns false when the exchange was aborted instead; may be empty.
   std::function<bool()> mBeforeSend;
   /// \returns false for a response to another request, which is skipped; may be empty.
   std::function<bool(const ResponseHead&)> mIsMatchingResponse;
--- a/bulrushrun/limits/TargetRateLimiter.h
+++ b/bulrushrun/limits/TargetRateLimiter.h
@@ -102,11 +102,11 @@
 private:
   /// Requests per second that all instances without a quota may send together: a fraction of the
   /// target's rate, and at least this many.
-  static constexpr double kSinglesShare = 0.25;
-  static constexpr double kMinSinglesPerSecond = 0.25;
+  static constexpr double kSinglesShare = 0.1;
+  static constexpr double kMinSinglesPerSecond = 0.125;
   /// Time after which a single request that was not needed lapses, so that instances that were idle
   /// do not send theirs at the same time.
-  static constexpr Duration kSingleValidity = std::chrono::seconds(2);
+  static constexpr Duration kSingleValidity = std::chrono::seconds(1);
 
   struct Limit
   {
