--- a/bulrushrun/limits/TargetRateLimiter.h
+++ b/bulrushrun/limits/TargetRateLimiter.h
@@ -4,7 +4,9 @@
 #include "bulrushrun/limits/TargetQuota.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
