Comments of the rate limits in the field's words

Cause: comments of TargetRateLimiter, TargetRateAnnouncer and TargetRateMessage let targets and instances speak. Change: comments only, no line of code.

--- a/bulrushrun/limits/TargetRateLimiter.h
+++ b/bulrushrun/limits/TargetRateLimiter.h
@@ -17,7 +17,7 @@
 /// sum over all instances stays near that rate although no instance knows what the others send.
 ///
 /// Each instance may send its quota of the rate within a sliding window. An instance without a
-/// quota would never hear that the limit has ended; it may send single requests at long intervals.
+/// quota would never learn that the limit has ended; it may send single requests at long intervals.
 class TargetRateLimiter
 {
 public:
--- a/bulrushrun/steering/RequestProxyTargetUpdates.h
+++ b/bulrushrun/steering/RequestProxyTargetUpdates.h
@@ -29,7 +29,7 @@
   updateRateLimit(aRequest);
 }
 
-/// A target says in each of its responses which rate it takes; one without a rate ends the limit.
+/// Each response of a target states its rate limit; a response without one ends the limit.
 template<class HostType, class Codec>
 void RequestProxy<HostType, Codec>::updateRateLimit(const Request& aRequest)
 {
--- a/bulrushrun/steering/TargetRateAnnouncer.h
+++ b/bulrushrun/steering/TargetRateAnnouncer.h
@@ -12,11 +12,12 @@
 
 namespace bulrushrun {
 
-/// \brief Tells the other instances which rates targets named, and when a limit has ended.
+/// \brief Announces the rate limits of targets, and their ends, to the other instances.
 ///
-/// An instance without a quota of a target's rate sends it next to nothing, so its own responses
-/// would tell it late. An announcement goes to the other instances of the zone and to one instance
-/// of each other zone, which forwards it there. One that is lost is made up for by responses.
+/// An instance without a quota of a target's rate sends it few requests, so it would learn of a
+/// change late from its own responses. An announcement goes to the other instances of the zone and
+/// to one instance of each other zone, which forwards it there. One that is lost is made up for by
+/// responses.
 template<class HostType>
 class TargetRateAnnouncer
 {
--- a/bulrushrun/steering/TargetRateMessage.cpp
+++ b/bulrushrun/steering/TargetRateMessage.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-/// Target, incarnation, rate; a negative rate says that the limit has ended.
+/// Target, incarnation, rate; a negative rate states that the limit has ended.
 using WireRate = std::tuple<std::string, std::uint64_t, double>;
 /// Starts with a text, so that it is never taken for a gossip message, which starts with a number.
 using WireMessage = std::tuple<std::string, bool, std::vector<WireRate>>;
--- a/bulrushrun/steering/TargetRateMessage.h
+++ b/bulrushrun/steering/TargetRateMessage.h
@@ -9,7 +9,7 @@
 
 namespace bulrushrun {
 
-/// \brief Rate that one incarnation of a target named, as an instance tells it to others.
+/// \brief Rate limit of one incarnation of a target, as announced by an instance.
 struct TargetRate
 {
   TargetId mTarget;
