--- a/bulrushrun/steering/tests/FleetSimulation.h
+++ b/bulrushrun/steering/tests/FleetSimulation.h
@@ -103,6 +103,7 @@
 public:
   static constexpr Duration kLinkLatency = std::chrono::milliseconds(2);
   static constexpr std::uint16_t kTargetPort = 9000;
+  static constexpr Endpoint kStoreEndpoint{ 0x0a090909, 8642 };
 
   /// \param aSeed  of the random latencies and losses
   explicit FleetSimulation(std::uint64_t aSeed = 1)
