--- a/review/tests/Harness.h
+++ b/review/tests/Harness.h
@@ -6,6 +6,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -533,6 +534,8 @@
     program = program == nullptr ? "target/bulrushrund-platform" : program;
     const pid_t pid = ::fork();
     if (pid == 0) {
+      // The process ends with the script, however that ends.
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);
       std::FILE* file = std::freopen(log.c_str(), "a", stdout);
       ::dup2(::fileno(file), STDERR_FILENO);
       ::execl(program, program, argument.c_str(), nullptr);
