A response that can't be forwarded ends its attempt at the head; refusals have a bounded body

Cause: RequestProxy::onBody appended to TargetAttempt::mBody without a limit while a response was not to be streamed. Streaming began beyond 256 KiB only for a response that is authentic; one without the signature, without the id, encoded, or declared not run was kept until the request's deadline, at the pace of the link. Its head already showed that it could never reach the caller.

Change: at the head, a response that is neither forwardable nor a refusal of this request ends the attempt: the connection is closed, the target gets a Broken result (two in a row eject it), a request that may run twice is sent elsewhere at once, another gets 502 at once. The next such answer costs one head. A refusal of this request (declared not run, with its id) is still believed only when it is whole; its body is counted, not kept, and beyond 256 KiB the response counts as interrupted: 502 or a repeat, never "not run". All other responses stream beyond 256 KiB, so that nothing is appended without a limit.

HttpConnection::abort no longer destroys the listener that calls it.

Ruled out, by the same test on the code before (HeadsAreBounded passed): status lines, header names, values and lines, 1xx heads, empty lines, bytes that are no HTTP, and responses to other requests without end. A signed body without end to a caller that does not read was bounded before, too.

CutAnswerProxyTest's proxy on sockets is a fixture of its own now; its tests are unchanged.

--- a/bulrushrun/net/HttpConnection.cpp
+++ b/bulrushrun/net/HttpConnection.cpp
@@ -141,7 +141,7 @@
 
 void HttpConnection::abort()
 {
-  mListener = {};
+  // The listener may be running, so it is destroyed with the connection.
   closeSocket();
 }
 
@@ -193,8 +193,7 @@
   if (!connection->mExchangeInProgress) {
     return;
   }
-  // A copy, because an abort discards the listener.
-  const std::function<bool()> beforeSend = connection->mListener.mBeforeSend;
+  const std::function<bool()>& beforeSend = connection->mListener.mBeforeSend;
   if (!beforeSend || beforeSend()) {
     connection->send();
   }
--- a/bulrushrun/steering/ProxiedRequest.h
+++ b/bulrushrun/steering/ProxiedRequest.h
@@ -23,6 +23,8 @@
   /// The response head, buffered until the body is complete or exceeds the buffer.
   std::optional<ResponseHead> mHead;
   std::string mBody;
+  /// Bytes of a body that is not forwarded.
+  std::size_t mDiscardedBytes = 0;
   ResponseMetadata mMetadata;
 };
 
--- a/bulrushrun/steering/RequestProxy.h
+++ b/bulrushrun/steering/RequestProxy.h
@@ -125,6 +125,8 @@
   /// Responses up to this size are buffered until complete, so that a request can be retried when
   /// its response is truncated.
   static constexpr std::size_t kMaxBufferedResponseBytes = std::size_t{ 256 } * 1024;
+  /// A longer body of a refusal is not read to its end; the refusal then counts as truncated.
+  static constexpr std::size_t kMaxDiscardedResponseBytes = std::size_t{ 256 } * 1024;
   /// A request is retried after up to this many failed connections.
   static constexpr int kMaxConnectFailures = 3;
   /// Timeout of a request that sets none.
@@ -187,6 +189,7 @@
   bool onBody(RequestId aId, std::string_view aBytes);
   void onEnd(RequestId aId, ExchangeResult aEnd, const std::string& aReason);
   void onComplete(Request& aRequest);
+  void interruptAttempt(Request& aRequest, const char* aReason);
   void endUnanswered(RequestId aId, const char* aReason);
   void onResponseTimeout(RequestId aId, int aAttemptNumber);
   void recordAttemptResult(const Request& aRequest, AttemptResult aResult);
--- a/bulrushrun/steering/RequestProxyExchange.h
+++ b/bulrushrun/steering/RequestProxyExchange.h
@@ -80,17 +80,20 @@
   attempt.mHead = aHead;
   attempt.mMetadata = Codec::parseResponseMetadata(aHead);
   mPicker.stats(attempt.mTarget).onResponseStarted(mHost.now());
-  if (!attempt.mMetadata.mRequestId) {
-    // What it says of the target may be out of date.
-    return;
-  }
-  if (attempt.mMetadata.mLoad) {
-    mPicker.stats(attempt.mTarget).onReport(attempt.mMetadata.mLoad->total(), mHost.now());
-    if (mOnLoadReport) {
-      mOnLoadReport(attempt.mTarget, *attempt.mMetadata.mLoad);
+  // What a response without an id says of the target may be out of date.
+  if (attempt.mMetadata.mRequestId) {
+    if (attempt.mMetadata.mLoad) {
+      mPicker.stats(attempt.mTarget).onReport(attempt.mMetadata.mLoad->total(), mHost.now());
+      if (mOnLoadReport) {
+        mOnLoadReport(attempt.mTarget, *attempt.mMetadata.mLoad);
+      }
     }
+    reportTargetUpdate(*request);
+  }
+  // The body can't change this, and need not end.
+  if (!isDeclined(*request) && !isAuthentic(*request)) {
+    interruptAttempt(*request, "the response is not authentic");
   }
-  reportTargetUpdate(*request);
 }
 
 template<class HostType, class Codec>
@@ -104,14 +107,29 @@
   if (request->mStreaming) {
     return request->mResponder->write(aBytes) < kStreamBufferBytes;
   }
+  if (isDeclined(*request)) {
+    // Not forwarded, so only its end matters.
+    attempt.mDiscardedBytes += aBytes.size();
+    if (attempt.mDiscardedBytes > kMaxDiscardedResponseBytes) {
+      interruptAttempt(*request, "the body of the refusal is too long");
+    }
+    return true;
+  }
   attempt.mBody.append(aBytes);
-  if (attempt.mBody.size() > kMaxBufferedResponseBytes && !attempt.mMetadata.mDeclined &&
-      isAuthentic(*request)) {
+  if (attempt.mBody.size() > kMaxBufferedResponseBytes) {
     startStreaming(*request);
   }
   return true;
 }
 
+/// Ends an attempt whose response can't be used; the rest of the response is not read.
+template<class HostType, class Codec>
+void RequestProxy<HostType, Codec>::interruptAttempt(Request& aRequest, const char* aReason)
+{
+  mHost.abortExchange(aRequest.mAttempt->mExchange);
+  onEnd(aRequest.mId, ExchangeResult::Interrupted, aReason);
+}
+
 template<class HostType, class Codec>
 void RequestProxy<HostType, Codec>::forwardHead(Request& aRequest,
                                                 std::optional<std::uint64_t> aLength)
@@ -205,13 +223,6 @@
     apply(id, RequestEvent::TargetDeclined);
     return;
   }
-  if (!aRequest.mStreaming && !isAuthentic(aRequest)) {
-    recordAttemptResult(aRequest, AttemptResult::Broken);
-    aRequest.mReason = "the response is not authentic";
-    logFailedAttempt(aRequest, elapsed);
-    apply(id, RequestEvent::ExchangeFailed);
-    return;
-  }
   const bool failed = status >= 500;
   recordAttemptResult(aRequest, failed ? AttemptResult::FailedAnswer : AttemptResult::Answered);
   if (!failed) {
--- a/bulrushrun/steering/tests/CutAnswerProxyTest.cpp
+++ b/bulrushrun/steering/tests/CutAnswerProxyTest.cpp
@@ -1,100 +1,25 @@
 #include "bulrushrun/net/tests/CutAnswerServer.h"
-#include "bulrushrun/net/tests/RawCaller.h"
-#include "bulrushrun/steering.h"
-#include "platform/Adapter.h"
-
-#include <gtest/gtest.h>
-
-#include <sys/eventfd.h>
+#include "bulrushrun/steering/tests/SocketProxyFixture.h"
 
 namespace bulrushrun {
 namespace {
 
-/// A caller on a raw socket, the proxy of an instance, and a target that stops at any byte. Guards
-/// against passing on a part of an answer as a whole one.
-class CutAnswerProxyTest : public testing::Test
+/// A target that stops at any byte. Guards against passing on a part of an answer as a whole one.
+class CutAnswerProxyTest : public SocketProxyFixture
 {
 protected:
-  using Proxy = RequestProxy<EventLoopHost, platform::Adapter>;
-
-  CutAnswerProxyTest()
-    : mHost(mLoop, kUnusedEndpoint, [](const std::string&) {})
-    , mServer(mLoop,
-              kServer,
-              { nullptr, [this](HttpRequest aRequest, std::shared_ptr<HttpResponder> aResponder) {
-                 mProxy->accept(std::move(aRequest), std::move(aResponder), EventLoop::now());
-               } })
-  {
-    mLoop.watch(mCallEnded, [this] {
-      eventfd_t calls = 0;
-      (void)::eventfd_read(mCallEnded, &calls);
-      mLoop.stop();
-    });
-  }
-  ~CutAnswerProxyTest() override
-  {
-    mServer.close();
-    runFor(Duration{ 0 });
-    ::close(mCallEnded);
-  }
-
-  /// Sends one request while the target sends these bytes and ends the connection. Each request
-  /// has a new proxy, which knows of no earlier failure of the target.
+  /// Sends one request while the target sends these bytes and ends the connection.
   RawCaller call(const std::string& aAnswer, Cut aCut, const std::string& aRequest)
   {
     mTarget.setAnswer(aAnswer, aCut);
-    mState = std::make_unique<SteeringState>();
-    mState->mPlan = plan();
-    TargetEntry target;
-    target.mId = TargetId{ "t1" };
-    target.mService = ServiceName{ "s" };
-    target.mEndpoint = kPeer;
-    mState->mTargets.update(target, EventLoop::now());
-    mState->mTargets.setComplete();
-    mProxy = std::make_unique<Proxy>(mHost, *mState);
-    std::optional<RawCaller> caller;
-    std::thread thread{ [&] {
-      caller.emplace(aRequest);
-      (void)::eventfd_write(mCallEnded, 1);
-    } };
-    mLoop.run();
-    thread.join();
-    return *caller;
+    resetProxy(atMostOncePlan());
+    return SocketProxyFixture::call(aRequest);
   }
   /// Lets the client notice that the target closed an idle connection.
   void letConnectionsClose() { runFor(std::chrono::milliseconds(3)); }
-  static std::string request(const std::string& aMethod,
-                             const std::string& aVersion = "HTTP/1.1",
-                             const std::string& aHeaders = "")
-  {
-    return aMethod + " /a/x " + aVersion +
-           "\r\nHost: shop\r\nX-Request-Id: id-1\r\nX-Request-Timeout-Ms: 3000\r\n" + aHeaders +
-           "\r\n";
-  }
 
 private:
-  static std::shared_ptr<const RoutePlan> plan()
-  {
-    std::string reason;
-    return std::make_shared<const RoutePlan>(*platform::Adapter::parseRoutePlan(
-      R"({"version":"r1","routes":[{"name":"r1","host":"shop","pathPrefix":"/a/",)"
-      R"("kind":"non_idempotent","timeoutMs":3000,"service":"s","maxAttempts":1}],)"
-      R"("services":[{"name":"s"}],"limits":{}})",
-      reason));
-  }
-  void runFor(Duration aDuration)
-  {
-    mLoop.after(aDuration, [this] { mLoop.stop(); });
-    mLoop.run();
-  }
-
-  EventLoop mLoop;
-  int mCallEnded = ::eventfd(0, EFD_NONBLOCK);
   CutAnswerServer mTarget;
-  EventLoopHost mHost;
-  std::unique_ptr<SteeringState> mState;
-  std::unique_ptr<Proxy> mProxy;
-  HttpServer mServer;
 };
 
 /// Guards against a short or empty success, framed as whole, after a cut head or body.
