--- a/bulrushrun/core.h
+++ b/bulrushrun/core.h
@@ -17,6 +17,7 @@
 #include "bulrushrun/core/Files.h"
 #include "bulrushrun/core/Findings.h"
 #include "bulrushrun/core/Hash.h"
+#include "bulrushrun/core/JsonText.h"
 #include "bulrushrun/core/Random.h"
 #include "bulrushrun/core/ScopeGuard.h"
 #include "bulrushrun/core/TimerQueue.h"
--- a/bulrushrun/net/tests/PeakMemory.h
+++ b/bulrushrun/net/tests/PeakMemory.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <malloc.h>
+
 #include <fstream>
 #include <string>
 
@@ -11,6 +13,8 @@
 public:
   PeakMemory()
   {
+    // CI lets the allocator overwrite all memory that it hands out, which makes it resident.
+    ::mallopt(M_PERTURB, 0);
     // Sets the recorded peak to the present value, see proc(5).
     std::ofstream{ "/proc/self/clear_refs" } << "5";
     mStart = statusBytes("VmRSS:");
