A read of a table ends at 32 MiB, or when its pages repeat

Callers would see: an instance that ends by its memory while it reads a table, because the store announces one page after another.

Cause: TableFeedReader kept all pages until one said that none follows. Each response was bounded, their number was not; a store that repeats a page kept it reading for ever. Evidence: EndlessTableTest; before, 100 of 100 pages of 1 MiB were read and kept, and a page that repeats was asked for again.

--- a/bulrushrun/host/EventCatalogue.h
+++ b/bulrushrun/host/EventCatalogue.h
@@ -33,6 +33,7 @@
 inline constexpr Event kRowsUnreadable{ 3006, Severity::Warn, "rows-unreadable" };
 inline constexpr Event kReplicaDiverged{ 3007, Severity::Warn, "replica-diverged" };
 inline constexpr Event kTransferInterrupted{ 3008, Severity::Info, "transfer-interrupted" };
+inline constexpr Event kTableRejected{ 3009, Severity::Error, "table-rejected" };
 inline constexpr Event kClaimUnresolved{ 4001, Severity::Warn, "claim-unresolved" };
 inline constexpr Event kOutcomeUnknown{ 4002, Severity::Warn, "outcome-unknown" };
 inline constexpr Event kOutcomeNotStored{ 4003, Severity::Warn, "outcome-not-stored" };
@@ -81,7 +82,7 @@
   kLookupRefused,        kTargetZoneUnknown,    kObjectPlaced,         kPlacementsUnreadable,
   kPlacementsLoaded,     kPlacementsNotSaved,   kPlacementsNotLoaded,  kRowsAdopted,
   kRowsUnreadable,       kReplicaDiverged,      kTargetHeaderIgnored,  kTargetResting,
-  kTransferInterrupted,  kTargetRateLimited,    kRegionShares
+  kTransferInterrupted,  kTargetRateLimited,    kRegionShares,         kTableRejected
 };
 
 } // namespace bulrushrun::events
--- a/bulrushrun/store/TableFeedReader.h
+++ b/bulrushrun/store/TableFeedReader.h
@@ -105,11 +105,16 @@
   static constexpr Duration kMinBackoff = std::chrono::milliseconds(100);
   static constexpr Duration kMaxBackoff = std::chrono::milliseconds(800);
   static constexpr std::size_t kMaxResponseBytes = std::size_t{ 4 } * 1024 * 1024;
+  /// Keys and values of all pages of a table.
+  static constexpr std::size_t kMaxTableBytes = std::size_t{ 32 } * 1024 * 1024;
+  /// Delay until a table that is too large, or whose pages repeat, is read again.
+  static constexpr Duration kFaultyTableDelay = std::chrono::seconds(10);
 
   void readPage(const std::string& aFrom)
   {
     if (aFrom.empty()) {
-      mPendingRows.clear();
+      mPendingRows = {};
+      mPendingBytes = 0;
     }
     ++mTableReads;
     call(Protocol::makeReadRequest(mTable, aFrom), kReadTimeout, [this](RowReadResult aResult) {
@@ -129,9 +134,19 @@
       mSnapshotMadeAt = madeAt(aResult);
     }
     std::vector<StoreRow>& rows = aResult.mBatch.mRows;
-    mPendingRows.insert(mPendingRows.end(), rows.begin(), rows.end());
-    if (aResult.mBatch.mHasMore && !rows.empty()) {
-      readPage(keyAfter(rows.back()));
+    const bool hasMore = aResult.mBatch.mHasMore && !rows.empty();
+    const bool repeats =
+      !rows.empty() && !mPendingRows.empty() && rows.back().mKey <= mPendingRows.back().mKey;
+    for (StoreRow& row : rows) {
+      mPendingBytes += sizeof(StoreRow) + row.mKey.size() + row.mValue.size();
+      mPendingRows.push_back(std::move(row));
+    }
+    if (repeats || mPendingBytes > kMaxTableBytes) {
+      rejectTable(repeats ? "the pages of the table repeat" : "the table exceeds its limit");
+      return;
+    }
+    if (hasMore) {
+      readPage(keyAfter(mPendingRows.back()));
       return;
     }
     onSuccess();
@@ -140,6 +155,18 @@
     requestFeed();
   }
 
+  /// Gives up a read of the table that may have no end.
+  void rejectTable(const char* aReason)
+  {
+    mHost.log(events::kTableRejected,
+              "table=" + mTable + " reason=\"" + aReason + "\" bytes=" +
+                std::to_string(mPendingBytes) + " rows=" + std::to_string(mPendingRows.size()));
+    mPendingRows = {};
+    mPendingBytes = 0;
+    mBackoff = kFaultyTableDelay;
+    onFailure(aReason, [this] { readPage(""); });
+  }
+
   void requestFeed() { requestFeed(mTimeouts.mMaxWait); }
 
   void requestFeed(Duration aWait)
@@ -241,6 +268,7 @@
   FeedTimeouts mTimeouts;
   TableFeedListener mListener;
   std::vector<StoreRow> mPendingRows;
+  std::size_t mPendingBytes = 0;
   RecordVersion mVersion;
   /// Version of the read in progress. Peers may advance mVersion meanwhile.
   RecordVersion mSnapshotVersion;
