The values of one peer's response decompress to 16 MiB at most, all together

The bound was 8 MiB a value, and a response of 8 MiB may hold thousands: each value of 7 MiB of equal bytes takes about 30 KB on the wire. Evidence: DecompressedBytesOfAllValuesAreBounded failed before (three such values were decoded). Responses are authentic, so only a faulty peer sends one; it is unusable then, and another peer is asked.

--- a/bulrushrun/store/PeerReplicationCodec.cpp
+++ b/bulrushrun/store/PeerReplicationCodec.cpp
@@ -14,8 +14,8 @@
 
 /// Longer durations in a request are clamped to this one, which is 24 h.
 constexpr std::uint64_t kMaxMillis = 86'400'000;
-/// Longest value that is decompressed.
-constexpr std::uint64_t kMaxValueBytes = std::uint64_t{ 8 } * 1024 * 1024;
+/// Bytes into which the values of one response may be decompressed.
+constexpr std::uint64_t kMaxDecompressedBytes = std::uint64_t{ 16 } * 1024 * 1024;
 /// Numbers in the query: two versions per table, the staleness and the maximum wait. Newer
 /// instances append whether they read compressed values; older ones ignore that.
 constexpr std::size_t kRequestNumbers = 2 * kReplicatedTables + 2;
@@ -53,17 +53,19 @@
            aSummary.mDigest };
 }
 
+/// \param aBytesLeft  bytes into which values may still be decompressed
 /// \returns the row, or nothing when its value can't be decompressed.
-std::optional<StoreRow> fromWire(const WireRow& aWire)
+std::optional<StoreRow> fromWire(const WireRow& aWire, std::uint64_t& aBytesLeft)
 {
   const auto& [key, value, version, removed, lengthPlusOne] = aWire;
   StoreRow row{ key, value, RecordVersion{ version }, removed };
   if (lengthPlusOne == 0) {
     return row;
   }
-  if (lengthPlusOne > kMaxValueBytes) {
+  if (lengthPlusOne > aBytesLeft) {
     return std::nullopt;
   }
+  aBytesLeft -= lengthPlusOne;
   std::optional<std::string> text = decompressText(value, lengthPlusOne);
   if (!text || text->size() + 1 != lengthPlusOne) {
     return std::nullopt;
@@ -145,12 +147,13 @@
   if (std::get<2>(*wire) > 0) {
     changes.mHeld = std::chrono::milliseconds(std::get<2>(*wire) - 1);
   }
+  std::uint64_t bytesLeft = kMaxDecompressedBytes;
   for (std::size_t i = 0; i < kReplicatedTables; ++i) {
     const auto& [complete, newest, rows, removalsKnownFrom, digest] = std::get<1>(*wire)[i];
     changes.mSummaries[i] = { RecordVersion{ removalsKnownFrom }, digest };
     changes.mProgress[i] = { RecordVersion{ complete }, RecordVersion{ newest } };
     for (const WireRow& wireRow : rows) {
-      std::optional<StoreRow> row = fromWire(wireRow);
+      std::optional<StoreRow> row = fromWire(wireRow, bytesLeft);
       if (!row) {
         return std::nullopt;
       }
--- a/bulrushrun/store/tests/PeerReplicationCodecTest.cpp
+++ b/bulrushrun/store/tests/PeerReplicationCodecTest.cpp
@@ -111,5 +111,26 @@
   EXPECT_FALSE(parsePeerChangesRequest("/peer/news?1,2"));
 }
 
+/// Guards against a short response that takes many times its bytes when it is decompressed.
+TEST(PeerReplicationCodecTest, DecompressedBytesOfAllValuesAreBounded)
+{
+  const std::string value(std::size_t{ 7 } * 1024 * 1024, 'x');
+  const auto isDecoded = [&](int aRows) {
+    TableReplica replica;
+    for (int i = 1; i <= aRows; ++i) {
+      const RecordVersion version{ static_cast<std::uint64_t>(i) };
+      replica.apply({ { "k" + std::to_string(i), value, version } }, version);
+    }
+    PeerChanges changes;
+    changes.mRows[0] = replica.changesSince(RecordVersion{});
+    changes.mAcceptsCompressed = true;
+    const std::string bytes = encodePeerChanges(changes, "key");
+    EXPECT_LT(bytes.size(), value.size() / 20);
+    return decodePeerChanges(bytes, { "key" }).has_value();
+  };
+  EXPECT_TRUE(isDecoded(2));
+  EXPECT_FALSE(isDecoded(3));
+}
+
 } // namespace
 } // namespace bulrushrun
