A replica keeps 4,096 tombstones; older ones are dropped

Each removed row stayed in memory for as long as the process ran: about 300 bytes for each target that was ever there, so that how often targets come and go decided how much an instance takes.

Up to the complete version an unknown row counts as removed anyway, so that dropping a tombstone there restores nothing; the version from which removals are known rises with it, so that no peer takes a response without them for complete. Tombstones beyond the complete version stay.

--- a/bulrushrun/store/TableReplica.cpp
+++ b/bulrushrun/store/TableReplica.cpp
@@ -4,7 +4,6 @@
 #include "bulrushrun/store/CompressedText.h"
 
 #include <algorithm>
-#include <set>
 
 namespace bulrushrun {
 
@@ -23,6 +22,12 @@
 void TableReplica::replaceRow(StoreRow& aKnown, const StoreRow& aRow)
 {
   mDigest += digestOf(aRow) - digestOf(aKnown);
+  if (aKnown.mRemoved) {
+    mTombstones.erase({ aKnown.mVersion, aKnown.mKey });
+  }
+  if (aRow.mRemoved) {
+    mTombstones.emplace(aRow.mVersion, aRow.mKey);
+  }
   aKnown = aRow;
   if (aKnown.mValue.size() >= kMinCompressedBytes && aKnown.mCompressedValue == nullptr) {
     aKnown.mCompressedValue = std::make_shared<const std::string>(compressText(aKnown.mValue));
@@ -30,6 +35,17 @@
   mNewestVersion = std::max(mNewestVersion, aRow.mVersion);
 }
 
+/// Without its tombstone, a row is still known to be removed up to the complete version.
+void TableReplica::dropOldTombstones()
+{
+  while (mTombstones.size() > kMaxTombstones && mTombstones.begin()->first <= mCompleteVersion) {
+    const auto oldest = mTombstones.begin();
+    mRemovalsKnownFrom = std::max(mRemovalsKnownFrom, oldest->first);
+    mRows.erase(oldest->second);
+    mTombstones.erase(oldest);
+  }
+}
+
 bool TableReplica::applyRow(const StoreRow& aRow)
 {
   const auto [row, inserted] = mRows.try_emplace(aRow.mKey, StoreRow{ aRow.mKey, "", {}, true });
@@ -51,6 +67,7 @@
     }
   }
   mCompleteVersion = std::max(mCompleteVersion, aCompleteVersion);
+  dropOldTombstones();
   return applied;
 }
 
@@ -81,6 +98,7 @@
     mRemovalsKnownFrom = aVersion;
   }
   mCompleteVersion = std::max(mCompleteVersion, aVersion);
+  dropOldTombstones();
   return applied;
 }
 
--- a/bulrushrun/store/TableReplica.h
+++ b/bulrushrun/store/TableReplica.h
@@ -4,7 +4,9 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace bulrushrun {
@@ -13,8 +15,8 @@
 ///
 /// Changes may arrive repeatedly, late and from several sources: a change is applied only if its
 /// version is newer than that of the row. Removed rows are kept as tombstones, so that an older
-/// change does not restore them. A read of the table does not tell which rows were removed before
-/// it, so a replica knows all removals only from removalsKnownFrom() on.
+/// change does not restore them; the oldest are dropped. A read of the table does not tell which
+/// rows were removed before it, so a replica knows all removals only from removalsKnownFrom() on.
 class TableReplica
 {
 public:
@@ -44,11 +46,17 @@
   /// \brief \returns a digest of the keys and versions of all rows that are not removed.
   std::uint64_t digest() const { return mDigest; }
 
+  /// \brief Tombstones that are kept; of those up to the complete version, older ones are dropped.
+  static constexpr std::size_t kMaxTombstones = 4096;
+
 private:
+  void dropOldTombstones();
   bool applyRow(const StoreRow& aRow);
   void replaceRow(StoreRow& aKnown, const StoreRow& aRow);
 
   std::map<std::string, StoreRow> mRows;
+  /// Versions and keys of the removed rows.
+  std::set<std::pair<RecordVersion, std::string>> mTombstones;
   RecordVersion mCompleteVersion;
   RecordVersion mNewestVersion;
   RecordVersion mRemovalsKnownFrom;
