HttpClient keeps no entry for an address without idle connections

Addresses of targets come and go; each left an empty list behind for as long as the process ran, about 100 bytes. Found by reading, with no test of its own: nothing outside the class shows the entries. The tests of kept connections pass (IdleConnectionTest, StaleConnectionTest, SkippedResponseTest).

--- a/bulrushrun/net/HttpClient.cpp
+++ b/bulrushrun/net/HttpClient.cpp
@@ -26,8 +26,7 @@
   if (aUse == ConnectionUse::New) {
     return nullptr;
   }
-  const auto found = mIdle.find(aEndpoint);
-  while (found != mIdle.end() && !found->second.empty()) {
+  for (auto found = mIdle.find(aEndpoint); found != mIdle.end(); found = mIdle.find(aEndpoint)) {
     HttpConnection* newest = found->second.back();
     const TimePoint now = EventLoop::now();
     const Duration idle = now - newest->lastCompletedAt();
@@ -36,7 +35,7 @@
         return nullptr;
       }
       if (newest->isQuiet()) {
-        found->second.pop_back();
+        removeIdle(*newest);
         return newest;
       }
     }
@@ -67,9 +66,19 @@
   return raw;
 }
 
+/// Keeps no entry for an endpoint without idle connections, as endpoints come and go.
+void HttpClient::removeIdle(HttpConnection& aConnection)
+{
+  const auto found = mIdle.find(aConnection.endpoint());
+  if (found != mIdle.end() && std::erase(found->second, &aConnection) > 0 &&
+      found->second.empty()) {
+    mIdle.erase(found);
+  }
+}
+
 void HttpClient::discard(HttpConnection& aConnection)
 {
-  std::erase(mIdle[aConnection.endpoint()], &aConnection);
+  removeIdle(aConnection);
   const auto found = mConnections.find(&aConnection);
   if (found == mConnections.end()) {
     return;
--- a/bulrushrun/net/HttpClient.h
+++ b/bulrushrun/net/HttpClient.h
@@ -48,6 +48,7 @@
   void onClosed(HttpConnection& aClosed);
   HttpConnection* takeIdle(const Endpoint& aEndpoint, ConnectionUse aUse);
   HttpConnection* connect(const Endpoint& aEndpoint);
+  void removeIdle(HttpConnection& aConnection);
   void discard(HttpConnection& aConnection);
 
   EventLoop& mLoop;
