Request bodies are held once, and all of them within a budget

Cause: a body was held in h2o's buffer, in the HttpRequest, in the copy of an attempt and, built by concatenation, in the text of the exchange, which an idle connection kept until its next one; and nothing bounded the bodies of all requests together.

Evidence: RequestBodyTest, real sockets, peak resident memory of the process. Before: one body of 8 MiB took 38.8 MB, one of 30 MiB 100 MB; 20 of 8 MiB at once 186 MB. After: at most twice one body and 4 MiB (its buffer is copied when it grows), and 54 MiB for 20 of 8 MiB with a budget of 24 MiB, all of them served.

Change: HttpRequest::mBody is shared by all copies. The caller server lends large bodies from h2o's buffer (BytesLoan) until h2o ends the request; the proxy aborts its exchange before that. Connections write head and body as two parts and keep neither. InputThrottle looks at all HTTP/1 connections every 5 ms while there are events, and by a timer while some are paused: beyond 3/8 of memoryMb only what fits into half of it is read, those with most bytes first, at least one when none is complete. Small requests are always read. Receive buffers of accepted connections are fixed at 256 KiB, so that one look brings no more. The allocator returns large buffers at once. Requests of callers that leave before the instance is ready are dropped with their bodies.

Found by the test IncompleteOnesDoNotBlockEachOther while this was written: without a timer, paused connections waited for the next event of the loop, up to 1 s each; 5 to 10 of 30 were not served in 10 s.

Not covered: HTTP/2 bodies, which h2o frees before it ends the request, so that they are copied, and which no budget counts.

--- a/bulrushrun/administration/AdminApi.h
+++ b/bulrushrun/administration/AdminApi.h
@@ -188,7 +188,7 @@
       return;
     }
     const Proposal proposal{
-      aRequest.mBody, ConfigurationVersion{ *base }, *changeId, *author, *reason
+      aRequest.mBody.text(), ConfigurationVersion{ *base }, *changeId, *author, *reason
     };
     mPublisher.publish(proposal, [=, this](const PublishResult& aResult) {
       if (aResult.mStatus == PublishStatus::Accepted) {
--- a/bulrushrun/forwarding/RequestParametersReader.cpp
+++ b/bulrushrun/forwarding/RequestParametersReader.cpp
@@ -93,7 +93,9 @@
 
 std::string requestFingerprint(const HttpRequest& aRequest)
 {
-  return sha256Hex(aRequest.mMethod + " " + aRequest.mPath + "\n" + aRequest.mBody);
+  std::string text = aRequest.mMethod + " " + aRequest.mPath + "\n";
+  text += aRequest.mBody.view();
+  return sha256Hex(text);
 }
 
 } // namespace bulrushrun
--- a/bulrushrun/host/EventCatalogue.h
+++ b/bulrushrun/host/EventCatalogue.h
@@ -67,6 +67,8 @@
 inline constexpr Event kSendFailed{ 8003, Severity::Info, "send-failed" };
 inline constexpr Event kLookupRefused{ 8004, Severity::Info, "lookup-refused" };
 inline constexpr Event kRegionShares{ 8005, Severity::Info, "region-shares" };
+inline constexpr Event kReadingPaused{ 8006, Severity::Warn, "reading-paused" };
+inline constexpr Event kReadingResumed{ 8007, Severity::Info, "reading-resumed" };
 
 inline constexpr std::array kAllEvents{
   kInstanceStarted,      kInstanceReady,        kDrainStarted,         kDrainEnded,
@@ -82,7 +84,8 @@
   kLookupRefused,        kTargetZoneUnknown,    kObjectPlaced,         kPlacementsUnreadable,
   kPlacementsLoaded,     kPlacementsNotSaved,   kPlacementsNotLoaded,  kRowsAdopted,
   kRowsUnreadable,       kReplicaDiverged,      kTargetHeaderIgnored,  kTargetResting,
-  kTransferInterrupted,  kTargetRateLimited,    kRegionShares,         kTableRejected
+  kTransferInterrupted,  kTargetRateLimited,    kRegionShares,         kReadingPaused,
+  kReadingResumed,       kTableRejected
 };
 
 } // namespace bulrushrun::events
--- a/bulrushrun/host/Http.h
+++ b/bulrushrun/host/Http.h
@@ -45,7 +45,7 @@
   /// Path and query, normalised.
   std::string mPath;
   Headers mHeaders;
-  std::string mBody;
+  SharedBytes mBody;
   /// Host of the request; the address of the receiver when empty.
   std::string mAuthority = {};
 };
--- a/bulrushrun/net.h
+++ b/bulrushrun/net.h
@@ -8,12 +8,14 @@
 // HTTP server.
 #include "bulrushrun/net/HttpResponder.h"
 #include "bulrushrun/net/HttpServer.h"
+#include "bulrushrun/net/InputThrottle.h"
 #include "bulrushrun/net/RequestValidation.h"
 #include "bulrushrun/net/Sockets.h"
 // HTTP client.
 #include "bulrushrun/net/HttpClient.h"
 #include "bulrushrun/net/HttpConnection.h"
 // UDP control messages, log and crash handler.
+#include "bulrushrun/net/Allocator.h"
 #include "bulrushrun/net/CrashHandler.h"
 #include "bulrushrun/net/EventLogger.h"
 #include "bulrushrun/net/PeerSocket.h"
--- a/bulrushrun/net/EventLoop.cpp
+++ b/bulrushrun/net/EventLoop.cpp
@@ -69,6 +69,9 @@
   while (!mStopped) {
     h2o_evloop_run(mLoop, waitMillis());
     runTimersInsideLoop();
+    if (mAfterEvents) {
+      mAfterEvents();
+    }
   }
 }
 
--- a/bulrushrun/net/EventLoop.h
+++ b/bulrushrun/net/EventLoop.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <utility>
 
 namespace bulrushrun {
 
@@ -37,6 +38,9 @@
   /// the descriptor.
   void watch(int aDescriptor, std::function<void()> aCallback);
 
+  /// \brief Sets a callback that runs after the events of each iteration.
+  void setAfterEvents(std::function<void()> aCallback) { mAfterEvents = std::move(aCallback); }
+
   /// \brief Runs until stop().
   void run();
   /// \brief Makes run() return after the current iteration.
@@ -65,6 +69,7 @@
   TimerEntry mTimerEntry{};
   TimerQueue mTimers;
   std::vector<std::unique_ptr<std::function<void()>>> mWatchers;
+  std::function<void()> mAfterEvents;
   bool mStopped = false;
 };
 
--- a/bulrushrun/net/HttpConnection.cpp
+++ b/bulrushrun/net/HttpConnection.cpp
@@ -24,7 +24,7 @@
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbes = 2;
 
-std::string serialize(const HttpRequest& aRequest, const Endpoint& aEndpoint)
+std::string serializeHead(const HttpRequest& aRequest, const Endpoint& aEndpoint)
 {
   std::string text = aRequest.mMethod + " " + aRequest.mPath + " HTTP/1.1\r\n";
   text +=
@@ -38,7 +38,8 @@
   if (!withoutBody || !aRequest.mBody.empty()) {
     text += "Content-Length: " + std::to_string(aRequest.mBody.size()) + "\r\n";
   }
-  return text + "\r\n" + aRequest.mBody;
+  text += "\r\n";
+  return text;
 }
 
 /// Makes the kernel detect a peer that is dead or unreachable.
@@ -103,13 +104,16 @@
     mSocket->data = nullptr;
     h2o_socket_close(std::exchange(mSocket, nullptr));
   }
+  mRequestHead = {};
+  mRequestBody = {};
 }
 
 void HttpConnection::start(const HttpRequest& aRequest, ExchangeListener aListener)
 {
   assert(!mExchangeInProgress && "a connection carries one exchange at a time");
   mListener = std::move(aListener);
-  mOutput = serialize(aRequest, mEndpoint);
+  mRequestHead = serializeHead(aRequest, mEndpoint);
+  mRequestBody = aRequest.mBody;
   mHeadRequest = aRequest.mMethod == "HEAD";
   mIdleBeforeExchange.reset();
   if (mLastCompletedAt != TimePoint{}) {
@@ -135,8 +139,10 @@
 {
   mRequestSent = true;
   mWriteInProgress = true;
-  h2o_iovec_t part = h2o_iovec_init(mOutput.data(), mOutput.size());
-  h2o_socket_write(mSocket, &part, 1, onWritten);
+  const std::string_view body = mRequestBody.view();
+  std::array<h2o_iovec_t, 2> parts{ h2o_iovec_init(mRequestHead.data(), mRequestHead.size()),
+                                    h2o_iovec_init(body.data(), body.size()) };
+  h2o_socket_write(mSocket, parts.data(), body.empty() ? 1 : 2, onWritten);
 }
 
 void HttpConnection::abort()
@@ -206,6 +212,8 @@
     return;
   }
   connection->mWriteInProgress = false;
+  connection->mRequestHead = {};
+  connection->mRequestBody = {};
   if (aError != nullptr) {
     connection->fail(ExchangeResult::Interrupted, "writing the request failed");
   }
--- a/bulrushrun/net/HttpConnection.h
+++ b/bulrushrun/net/HttpConnection.h
@@ -91,7 +91,9 @@
   http_parser mParser{};
   http_parser_settings mParserSettings{};
   ExchangeListener mListener;
-  std::string mOutput;
+  /// Head and body of the request, until they are written.
+  std::string mRequestHead;
+  SharedBytes mRequestBody;
   ResponseHead mHead;
   TimePoint mLastCompletedAt;
   bool mConnected = false;
--- a/bulrushrun/net/HttpServer.cpp
+++ b/bulrushrun/net/HttpServer.cpp
@@ -5,6 +5,8 @@
 
 #include <h2o/http1.h>
 
+#include <sys/socket.h>
+
 #include <utility>
 
 namespace bulrushrun {
@@ -12,6 +14,10 @@
 namespace {
 
 constexpr std::uint64_t kRequestTimeoutMillis = 10000;
+/// Bounds what one read of a connection brings.
+constexpr int kReceiveBufferBytes = 256 * 1024;
+/// Smaller bodies are copied, which costs less than a loan.
+constexpr std::size_t kMinLentBytes = std::size_t{ 16 } * 1024;
 
 std::string_view toView(const h2o_iovec_t& aVector)
 {
@@ -25,6 +31,7 @@
   return { socket->input->bytes, socket->input->size };
 }
 
+/// \returns the request without its body.
 HttpRequest toHttpRequest(const h2o_req_t& aRequest)
 {
   HttpRequest request;
@@ -37,9 +44,6 @@
     request.mHeaders.push_back(
       { std::string{ toView(*header.name) }, std::string{ toView(header.value) } });
   }
-  if (aRequest.entity.base != nullptr) {
-    request.mBody = toView(aRequest.entity);
-  }
   return request;
 }
 
@@ -63,12 +67,16 @@
 
 } // namespace
 
-HttpServer::HttpServer(EventLoop& aLoop, Endpoint aEndpoint, HttpHandlers aHandlers)
+HttpServer::HttpServer(EventLoop& aLoop,
+                       Endpoint aEndpoint,
+                       HttpHandlers aHandlers,
+                       std::size_t aMaxBodyBytes)
   : mHandlers(std::move(aHandlers))
+  , mInputThrottle(aLoop, mConfiguration, mContext)
 {
   h2o_config_init(&mConfiguration);
   mConfiguration.server_name = h2o_iovec_init(H2O_STRLIT("bulrushrun"));
-  mConfiguration.max_request_entity_size = kMaxRequestBodyBytes;
+  mConfiguration.max_request_entity_size = aMaxBodyBytes;
   mConfiguration.http1.req_timeout = kRequestTimeoutMillis;
   h2o_hostconf_t* host =
     h2o_config_register_host(&mConfiguration, h2o_iovec_init(H2O_STRLIT("default")), 65535);
@@ -84,8 +92,11 @@
 
 void HttpServer::listen(EventLoop& aLoop, Endpoint aEndpoint)
 {
-  mListener =
-    h2o_evloop_socket_create(aLoop.raw(), openListener(aEndpoint), H2O_SOCKET_FLAG_DONT_READ);
+  const int descriptor = openListener(aEndpoint);
+  // Accepted connections inherit it.
+  ::setsockopt(
+    descriptor, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes, sizeof(kReceiveBufferBytes));
+  mListener = h2o_evloop_socket_create(aLoop.raw(), descriptor, H2O_SOCKET_FLAG_DONT_READ);
   mListener->data = this;
   h2o_socket_read_start(mListener, onAccept);
 }
@@ -132,6 +143,22 @@
   return reinterpret_cast<Handler*>(aHandler)->mServer->handle(aRequest);
 }
 
+/// HTTP/2 bodies are copied, because h2o frees them before it ends the request.
+SharedBytes HttpServer::takeBody(const h2o_req_t& aRequest, HttpResponder& aResponder)
+{
+  const std::string_view body =
+    aRequest.entity.base == nullptr ? std::string_view{} : toView(aRequest.entity);
+  if (!mHandlers.mLendsBodies || aRequest.version >= 0x200 || body.size() < kMinLentBytes) {
+    return std::string{ body };
+  }
+  const std::shared_ptr<BytesLoan> loan = std::make_shared<BytesLoan>(body);
+  aResponder.mOnDisposed = [loan, onDisposed = std::move(aResponder.mOnDisposed)] {
+    loan->end();
+    onDisposed();
+  };
+  return loan->bytes();
+}
+
 int HttpServer::handle(h2o_req_t* aRequest)
 {
   const std::string* cachedBody =
@@ -162,6 +189,7 @@
     respond(*responder, requestErrorResponse(*error));
     return 0;
   }
+  request.mBody = takeBody(*aRequest, *responder);
   mHandlers.mRequest(std::move(request), std::move(responder));
   return 0;
 }
--- a/bulrushrun/net/HttpServer.h
+++ b/bulrushrun/net/HttpServer.h
@@ -3,6 +3,7 @@
 #include "bulrushrun/host.h"
 #include "bulrushrun/net/EventLoop.h"
 #include "bulrushrun/net/HttpResponder.h"
+#include "bulrushrun/net/InputThrottle.h"
 
 #include <functional>
 #include <memory>
@@ -19,6 +20,9 @@
   std::function<const std::string*(std::string_view)> mCachedBody;
   /// Handles all other requests.
   std::function<void(HttpRequest, std::shared_ptr<HttpResponder>)> mRequest;
+  /// Large bodies of HTTP/1 requests are lent for the duration of the request, not copied. When the
+  /// caller disconnects, the handler must abort the exchanges that send such a body. \sa BytesLoan
+  bool mLendsBodies = false;
 };
 
 /// \brief HTTP/1.1 and HTTP/2 server on one address, built on h2o.
@@ -29,8 +33,12 @@
 {
 public:
   /// \brief Listens on the address.
+  /// \param aMaxBodyBytes  a request with a larger body is refused with 413
   /// \throws std::system_error when it can't be bound
-  HttpServer(EventLoop& aLoop, Endpoint aEndpoint, HttpHandlers aHandlers);
+  HttpServer(EventLoop& aLoop,
+             Endpoint aEndpoint,
+             HttpHandlers aHandlers,
+             std::size_t aMaxBodyBytes = kMaxRequestBodyBytes);
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
   HttpServer(HttpServer&&) = delete;
@@ -42,6 +50,9 @@
   /// \brief Sets the idle timeout of connections and the maximum size of a request body in bytes.
   void setLimits(Duration aIdle, std::size_t aBodyBytes);
 
+  /// \brief \returns what bounds the bytes of all requests.
+  InputThrottle& inputThrottle() { return mInputThrottle; }
+
   /// \brief \returns the number of requests whose responses have not been sent completely.
   std::size_t requestsInProgress() const { return mInProgress; }
 
@@ -60,6 +71,7 @@
   static void onAccept(h2o_socket_t* aListener, const char* aError);
 
   int handle(h2o_req_t* aRequest);
+  SharedBytes takeBody(const h2o_req_t& aRequest, HttpResponder& aResponder);
   void listen(EventLoop& aLoop, Endpoint aEndpoint);
   void closeListener();
 
@@ -67,6 +79,7 @@
   h2o_globalconf_t mConfiguration{};
   h2o_context_t mContext{};
   h2o_accept_ctx_t mAcceptContext{};
+  InputThrottle mInputThrottle;
   h2o_socket_t* mListener = nullptr;
   std::size_t mInProgress = 0;
 };
--- a/bulrushrun/net/tests/HttpTest.cpp
+++ b/bulrushrun/net/tests/HttpTest.cpp
@@ -185,7 +185,8 @@
       aResponder.abort();
       return;
     }
-    respond(aResponder, { { 200, { { "X-Seen", "yes" } }, std::nullopt }, mLastRequest.mBody });
+    respond(aResponder,
+            { { 200, { { "X-Seen", "yes" } }, std::nullopt }, mLastRequest.mBody.text() });
   }
 
   std::string rawResponse(const std::string& aBytes)
--- a/bulrushrun/steering/StartupQueue.h
+++ b/bulrushrun/steering/StartupQueue.h
@@ -38,9 +38,18 @@
     if (mPending.empty()) {
       mTimer = mHost.after(kMaxWait, [this] { release(); });
     }
+    // Otherwise the body would be kept until the release.
+    aResponder->mOnDisconnect = [this, left = aResponder.get()] {
+      std::erase_if(mPending, [left](const PendingRequest& aPending) {
+        return aPending.mResponder.get() == left;
+      });
+    };
     mPending.push_back({ std::move(aRequest), std::move(aResponder), mHost.now() });
   }
 
+  /// \brief \returns the number of queued requests.
+  std::size_t size() const { return mPending.size(); }
+
   /// \brief Passes on all requests whose callers are still connected.
   void release()
   {
--- a/bulrushrun/steering/tests/SocketProxyFixture.h
+++ b/bulrushrun/steering/tests/SocketProxyFixture.h
@@ -9,6 +9,7 @@
 #include <sys/eventfd.h>
 
 #include <csignal>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -26,12 +27,15 @@
     : mHost(mLoop, kUnusedEndpoint, [](const std::string&) {})
     , mServer(mLoop,
               kServer,
-              { nullptr, [this](HttpRequest aRequest, std::shared_ptr<HttpResponder> aResponder) {
-                 mProxy->accept(std::move(aRequest), std::move(aResponder), EventLoop::now());
-               } })
+              { nullptr,
+                [this](HttpRequest aRequest, std::shared_ptr<HttpResponder> aResponder) {
+                  mProxy->accept(std::move(aRequest), std::move(aResponder), EventLoop::now());
+                },
+                true })
   {
     // As the daemon does.
     std::signal(SIGPIPE, SIG_IGN);
+    returnLargeBuffersAtOnce();
     mLoop.watch(mCallEnded, [this] {
       eventfd_t calls = 0;
       (void)::eventfd_read(mCallEnded, &calls);
@@ -52,38 +56,63 @@
     mState = std::make_unique<SteeringState>();
     mState->mPlan =
       std::make_shared<const RoutePlan>(*platform::Adapter::parseRoutePlan(aPlan, reason));
+    constexpr double kManyRetries = 100;
+    mState->mRetryBudgetPolicy.mFreeRetries = kManyRetries;
+    addTarget("t1");
+    mState->mTargets.setComplete();
+    mProxy = std::make_unique<Proxy>(mHost, *mState);
+  }
+  /// Adds a target at kPeer.
+  void addTarget(const std::string& aId)
+  {
     TargetEntry target;
-    target.mId = TargetId{ "t1" };
+    target.mId = TargetId{ aId };
     target.mService = ServiceName{ "s" };
     target.mEndpoint = kPeer;
+    target.mSlots = 32;
     mState->mTargets.update(target, EventLoop::now());
-    mState->mTargets.setComplete();
-    mProxy = std::make_unique<Proxy>(mHost, *mState);
   }
   /// Sends one request, and runs the instance until the caller has received the response.
   RawCaller call(const std::string& aRequest)
   {
     std::optional<RawCaller> caller;
+    runWith([&] { caller.emplace(aRequest); });
+    return *caller;
+  }
+  /// Runs the instance while another thread runs a function.
+  void runWith(const std::function<void()>& aFunction)
+  {
     std::thread thread{ [&] {
-      caller.emplace(aRequest);
+      aFunction();
       (void)::eventfd_write(mCallEnded, 1);
     } };
     mLoop.run();
     thread.join();
-    return *caller;
+  }
+  /// Bounds the bytes of all requests, as the daemon does.
+  InputThrottle& limitInput(const InputLimits& aLimits)
+  {
+    InputThrottle& throttle = mServer.inputThrottle();
+    throttle.setLimits(aLimits);
+    mLoop.setAfterEvents([&throttle] { throttle.update(); });
+    return throttle;
   }
   void runFor(Duration aDuration)
   {
     mLoop.after(aDuration, [this] { mLoop.stop(); });
     mLoop.run();
   }
-  /// \returns a configuration with one route, whose requests reach one target at the most.
-  static std::string plan(const std::string& aKind)
+  void setBodyLimit(std::size_t aBytes, Duration aIdle = std::chrono::seconds(10))
+  {
+    mServer.setLimits(aIdle, aBytes);
+  }
+  void sweepProxy() { mProxy->sweep(); }
+  /// \returns a configuration with one route.
+  static std::string plan(const std::string& aKind, int aMaxAttempts = 1)
   {
     return R"({"version":"r1","routes":[{"name":"r1","host":"shop","pathPrefix":"/a/","kind":")" +
-           aKind +
-           R"(","timeoutMs":3000,"service":"s","maxAttempts":1}],)"
-           R"("services":[{"name":"s"}],"limits":{}})";
+           aKind + R"(","timeoutMs":3000,"service":"s","maxAttempts":)" +
+           std::to_string(aMaxAttempts) + R"(}],"services":[{"name":"s"}],"limits":{}})";
   }
   static std::string atMostOncePlan() { return plan("non_idempotent"); }
   static std::string request(const std::string& aMethod,
--- a/daemon/DaemonMain.h
+++ b/daemon/DaemonMain.h
@@ -54,6 +54,7 @@
     std::cout << path << ": no findings\n";
     return 0;
   }
+  returnLargeBuffersAtOnce();
   installCrashHandler();
   startLogging(settings->mInstance.text(), settings->mLogLevel);
   try {
--- a/daemon/platform_main.cpp
+++ b/daemon/platform_main.cpp
@@ -14,8 +14,10 @@
 constexpr Duration kSettingsPollPeriod = std::chrono::seconds(2);
 /// An idle connection of a caller is kept this much longer than the configured idle timeout.
 constexpr Duration kIdleTimeoutMargin = std::chrono::seconds(1);
-/// The body of one request may take at most 1/8 of the instance's memory.
+/// The body of one request may take at most 1/8 of the instance's memory. While all requests take
+/// over 3/8, callers' connections are not read, except for what fits into half of it.
 constexpr std::size_t kBodyMemoryDivisor = 8;
+constexpr std::size_t kBodiesInBudget = 3;
 
 /// \brief Reloads the settings file when it changes, and applies the settings that may change at
 /// run time.
@@ -69,6 +71,21 @@
 
 using RequestHandler = std::function<void(HttpRequest, std::shared_ptr<HttpResponder>)>;
 
+/// Bounds the bytes of all requests of callers.
+void limitInput(EventLoop& aLoop,
+                EventLoopHost& aHost,
+                InputThrottle& aThrottle,
+                std::size_t aMaxBodyBytes)
+{
+  aThrottle.setLimits({ kBodiesInBudget * aMaxBodyBytes, aMaxBodyBytes });
+  aThrottle.setOnChange([&aHost](std::size_t aHeldBytes, std::size_t aPausedConnections) {
+    aHost.log(aPausedConnections > 0 ? events::kReadingPaused : events::kReadingResumed,
+              "held_bytes=" + std::to_string(aHeldBytes) +
+                " paused_connections=" + std::to_string(aPausedConnections));
+  });
+  aLoop.setAfterEvents([&aThrottle] { aThrottle.update(); });
+}
+
 int runDaemon(const SteeringSettings& aSettings, const std::string& aPath)
 {
   EventLoop loop;
@@ -88,14 +105,21 @@
       interruptedRequests = aInterruptedRequests;
       loop.stop();
     });
+  const std::size_t maxBodyBytes = aSettings.mMemoryMegabytes * 1024 * 1024 / kBodyMemoryDivisor;
+  const std::unique_ptr<HttpServer> callerServer = std::make_unique<HttpServer>(
+    loop,
+    aSettings.mListen,
+    HttpHandlers{ nullptr,
+                  [&](HttpRequest aRequest, std::shared_ptr<HttpResponder> aResponder) {
+                    instance->handleCaller(std::move(aRequest), std::move(aResponder));
+                  },
+                  true },
+    maxBodyBytes);
+  limitInput(loop, host, callerServer->inputThrottle(), maxBodyBytes);
   const auto makeServer = [&loop](const Endpoint& aEndpoint, RequestHandler aHandler) {
     return std::make_unique<HttpServer>(
       loop, aEndpoint, HttpHandlers{ nullptr, std::move(aHandler) });
   };
-  const std::unique_ptr<HttpServer> callerServer = makeServer(
-    aSettings.mListen, [&](HttpRequest aRequest, std::shared_ptr<HttpResponder> aResponder) {
-      instance->handleCaller(std::move(aRequest), std::move(aResponder));
-    });
   const std::unique_ptr<HttpServer> lookupServer =
     makeServer(aSettings.mLookup, [&](const HttpRequest& aRequest, const auto& aResponder) {
       instance->handleLookup(aRequest, aResponder);
@@ -112,7 +136,6 @@
     makeServer(aSettings.mMetrics, [&](const HttpRequest&, const auto& aResponder) {
       instance->handleMetrics(aResponder);
     });
-  const std::size_t maxBodyBytes = aSettings.mMemoryMegabytes * 1024 * 1024 / kBodyMemoryDivisor;
   instance->setOnLimits([&](const CallerLimits& aLimits) {
     const std::size_t bodyBytes = aLimits.mBodyBytes == 0 ? maxBodyBytes : aLimits.mBodyBytes;
     callerServer->setLimits(aLimits.mIdleTimeout + kIdleTimeoutMargin,
--- a/standins/InMemoryRowStore.cpp
+++ b/standins/InMemoryRowStore.cpp
@@ -73,7 +73,7 @@
   const std::string query =
     queryStart < aRequest.mPath.size() ? aRequest.mPath.substr(queryStart + 1) : "";
   if (path == "/-/rows-tx") {
-    return transact(aRequest.mBody);
+    return transact(aRequest.mBody.text());
   }
   if (path == "/-/rows-get") {
     return readRange(query);
--- a/standins/PlatformStandIn.cpp
+++ b/standins/PlatformStandIn.cpp
@@ -19,7 +19,7 @@
 void PlatformStandIn::handle(const HttpRequest& aRequest, const ResponderPtr& aResponder)
 {
   if (aRequest.mPath == "/control") {
-    respond(*aResponder, control(aRequest.mBody));
+    respond(*aResponder, control(aRequest.mBody.text()));
     return;
   }
   if (mOutage) {
@@ -44,10 +44,10 @@
   }
   const std::string* operation = findHeader(aRequest.mHeaders, kTargetHeader);
   if (operation != nullptr && *operation == kTransactOperation) {
-    return transact(aRequest.mBody);
+    return transact(aRequest.mBody.text());
   }
   if (operation != nullptr && *operation == kReadOperation) {
-    return read(aRequest.mBody);
+    return read(aRequest.mBody.text());
   }
   return errorResponse(404, "not found", aRequest.mPath);
 }
@@ -92,7 +92,7 @@
 HttpResponse PlatformStandIn::object(const HttpRequest& aRequest)
 {
   if (aRequest.mMethod == "PUT") {
-    mObjects[aRequest.mPath] = aRequest.mBody;
+    mObjects[aRequest.mPath] = aRequest.mBody.text();
     return textResponse(200, "stored");
   }
   const auto found = mObjects.find(aRequest.mPath);
--- a/standins/TargetStandIn.cpp
+++ b/standins/TargetStandIn.cpp
@@ -35,7 +35,7 @@
     respond(*aResponder,
             jsonResponse(200, mLeaving ? R"({"state":"leaving"})" : R"({"state":"ready"})"));
   } else if (aRequest.mPath == "/control") {
-    respond(*aResponder, control(aRequest.mBody));
+    respond(*aResponder, control(aRequest.mBody.text()));
   } else {
     execute(aRequest, aResponder);
   }
