Servers whose requests have no bodies refuse those over 16 KiB

The lookup, readiness, metrics and peer servers took bodies of up to 8 MiB from anybody who connects, and threw them away: who connects often enough decided how much memory an instance takes. No test of its own: the limit is h2o's, as that of the callers' server, which EndlessRequestTest covers.

--- a/daemon/platform_main.cpp
+++ b/daemon/platform_main.cpp
@@ -18,6 +18,8 @@
 /// over 3/8, callers' connections are not read, except for what fits into half of it.
 constexpr std::size_t kBodyMemoryDivisor = 8;
 constexpr std::size_t kBodiesInBudget = 3;
+/// Requests of other servers than that of the callers have no bodies.
+constexpr std::size_t kMaxControlBodyBytes = std::size_t{ 16 } * 1024;
 
 /// \brief Reloads the settings file when it changes, and applies the settings that may change at
 /// run time.
@@ -118,7 +120,7 @@
   limitInput(loop, host, callerServer->inputThrottle(), maxBodyBytes);
   const auto makeServer = [&loop](const Endpoint& aEndpoint, RequestHandler aHandler) {
     return std::make_unique<HttpServer>(
-      loop, aEndpoint, HttpHandlers{ nullptr, std::move(aHandler) });
+      loop, aEndpoint, HttpHandlers{ nullptr, std::move(aHandler) }, kMaxControlBodyBytes);
   };
   const std::unique_ptr<HttpServer> lookupServer =
     makeServer(aSettings.mLookup, [&](const HttpRequest& aRequest, const auto& aResponder) {
