--- a/bulrushrun/net/tests/BodyCountingServer.h
+++ b/bulrushrun/net/tests/BodyCountingServer.h
@@ -32,8 +32,7 @@
 {
 public:
   BodyCountingServer()
-    : mListener(openListener(kPeer))
-    , mThread([this] { serve(); })
+    : mThread([this] { serve(); })
   {
   }
   BodyCountingServer(const BodyCountingServer&) = delete;
@@ -45,7 +44,6 @@
     for (std::thread& thread : mConnections) {
       thread.join();
     }
-    ::close(mListener);
   }
 
   /// While set, requests are not read.
@@ -59,9 +57,7 @@
   void serve()
   {
     while (!mStopped) {
-      pollfd ready{ mListener, POLLIN, 0 };
-      const int connection =
-        ::poll(&ready, 1, kPollMillis) == 1 ? ::accept(mListener, nullptr, nullptr) : -1;
+      const int connection = mListener.accept();
       if (connection >= 0) {
         mConnections.emplace_back([this, connection] { serveConnection(connection); });
       }
@@ -129,7 +125,7 @@
   }
 
   std::atomic<bool> mStopped = false;
-  int mListener;
+  PolledListener mListener;
   std::vector<std::thread> mConnections;
   std::thread mThread;
 };
--- a/bulrushrun/net/tests/CutAnswerServer.h
+++ b/bulrushrun/net/tests/CutAnswerServer.h
@@ -4,7 +4,6 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <poll.h>
 
 #include <atomic>
 #include <chrono>
@@ -31,8 +30,7 @@
 {
 public:
   CutAnswerServer()
-    : mListener(openListener(kPeer))
-    , mThread([this] { serve(); })
+    : mThread([this] { serve(); })
   {
   }
   CutAnswerServer(const CutAnswerServer&) = delete;
@@ -41,7 +39,6 @@
   {
     mStopped = true;
     mThread.join();
-    ::close(mListener);
   }
 
   void setAnswer(std::string aBytes, Cut aCut)
@@ -57,11 +54,8 @@
 
   void serve()
   {
-    constexpr int kPollMillis = 5;
     while (!mStopped) {
-      pollfd ready{ mListener, POLLIN, 0 };
-      const int connection =
-        ::poll(&ready, 1, kPollMillis) == 1 ? ::accept(mListener, nullptr, nullptr) : -1;
+      const int connection = mListener.accept();
       if (connection >= 0) {
         answer(connection);
       }
@@ -97,7 +91,7 @@
   std::string mBytes;
   Cut mCut = Cut::CloseAfterOneWrite;
   std::atomic<bool> mStopped = false;
-  int mListener;
+  PolledListener mListener;
   std::thread mThread;
 };
 
--- a/bulrushrun/net/tests/EndlessAnswerServer.h
+++ b/bulrushrun/net/tests/EndlessAnswerServer.h
@@ -15,8 +15,7 @@
 {
 public:
   EndlessAnswerServer()
-    : mListener(openListener(kPeer))
-    , mThread([this] { serve(); })
+    : mThread([this] { serve(); })
   {
   }
   EndlessAnswerServer(const EndlessAnswerServer&) = delete;
@@ -25,7 +24,6 @@
   {
     mStopped = true;
     mThread.join();
-    ::close(mListener);
   }
 
   void setAnswer(std::string aStart, const std::string& aRepeated)
@@ -48,9 +46,7 @@
   void serve()
   {
     while (!mStopped) {
-      pollfd ready{ mListener, POLLIN, 0 };
-      const int connection =
-        ::poll(&ready, 1, kPollMillis) == 1 ? ::accept(mListener, nullptr, nullptr) : -1;
+      const int connection = mListener.accept();
       if (connection >= 0) {
         answer(connection);
         ::close(connection);
@@ -91,7 +87,7 @@
   std::string mRepeated;
   std::atomic<std::size_t> mSentBytes = 0;
   std::atomic<bool> mStopped = false;
-  int mListener;
+  PolledListener mListener;
   std::thread mThread;
 };
 
--- a/bulrushrun/net/tests/RawByteServer.h
+++ b/bulrushrun/net/tests/RawByteServer.h
@@ -3,6 +3,7 @@
 #include "bulrushrun/net.h"
 
 #include <arpa/inet.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -23,6 +24,30 @@
 inline const Endpoint kPeer = processLocalEndpoint(2);
 inline const Endpoint kUnusedEndpoint = processLocalEndpoint(3);
 
+/// Listens at kPeer and accepts connections without waiting for long.
+class PolledListener
+{
+public:
+  PolledListener()
+    : mListener(openListener(kPeer))
+  {
+  }
+  PolledListener(const PolledListener&) = delete;
+  PolledListener& operator=(const PolledListener&) = delete;
+  ~PolledListener() { ::close(mListener); }
+
+  /// \returns a connection, or a negative number when none came within a few milliseconds.
+  int accept() const
+  {
+    constexpr int kPollMillis = 5;
+    pollfd ready{ mListener, POLLIN, 0 };
+    return ::poll(&ready, 1, kPollMillis) == 1 ? ::accept(mListener, nullptr, nullptr) : -1;
+  }
+
+private:
+  int mListener;
+};
+
 /// Accepts one connection, reads the request, sends fixed bytes and closes the connection.
 class RawByteServer
 {
