--- a/bulrushrun/core.h
+++ b/bulrushrun/core.h
@@ -9,6 +9,7 @@
 // Constants shared by several modules.
 #include "bulrushrun/core/Constants.h"
 // Value types.
+#include "bulrushrun/core/BytesLoan.h"
 #include "bulrushrun/core/SharedBytes.h"
 #include "bulrushrun/core/StrongName.h"
 #include "bulrushrun/core/StrongNumber.h"
--- a/bulrushrun/net/HttpConnection.cpp
+++ b/bulrushrun/net/HttpConnection.cpp
@@ -38,8 +38,7 @@
   if (!withoutBody || !aRequest.mBody.empty()) {
     text += "Content-Length: " + std::to_string(aRequest.mBody.size()) + "\r\n";
   }
-  text += "\r\n";
-  return text;
+  return text + "\r\n";
 }
 
 /// Makes the kernel detect a peer that is dead or unreachable.
@@ -104,16 +103,14 @@
     mSocket->data = nullptr;
     h2o_socket_close(std::exchange(mSocket, nullptr));
   }
-  mRequestHead = {};
-  mRequestBody = {};
+  mOutgoing = {};
 }
 
 void HttpConnection::start(const HttpRequest& aRequest, ExchangeListener aListener)
 {
   assert(!mExchangeInProgress && "a connection carries one exchange at a time");
   mListener = std::move(aListener);
-  mRequestHead = serializeHead(aRequest, mEndpoint);
-  mRequestBody = aRequest.mBody;
+  mOutgoing = { serializeHead(aRequest, mEndpoint), aRequest.mBody };
   mHeadRequest = aRequest.mMethod == "HEAD";
   mIdleBeforeExchange.reset();
   if (mLastCompletedAt != TimePoint{}) {
@@ -139,8 +136,8 @@
 {
   mRequestSent = true;
   mWriteInProgress = true;
-  const std::string_view body = mRequestBody.view();
-  std::array<h2o_iovec_t, 2> parts{ h2o_iovec_init(mRequestHead.data(), mRequestHead.size()),
+  const std::string_view body = mOutgoing.mBody.view();
+  std::array<h2o_iovec_t, 2> parts{ h2o_iovec_init(mOutgoing.mHead.data(), mOutgoing.mHead.size()),
                                     h2o_iovec_init(body.data(), body.size()) };
   h2o_socket_write(mSocket, parts.data(), body.empty() ? 1 : 2, onWritten);
 }
@@ -212,8 +209,7 @@
     return;
   }
   connection->mWriteInProgress = false;
-  connection->mRequestHead = {};
-  connection->mRequestBody = {};
+  connection->mOutgoing = {};
   if (aError != nullptr) {
     connection->fail(ExchangeResult::Interrupted, "writing the request failed");
   }
--- a/bulrushrun/net/HttpConnection.h
+++ b/bulrushrun/net/HttpConnection.h
@@ -59,6 +59,13 @@
   bool hasStrayBytes() const { return mHasStrayBytes; }
 
 private:
+  /// The request in progress, until it is written.
+  struct OutgoingRequest
+  {
+    std::string mHead;
+    SharedBytes mBody;
+  };
+
   static void onConnect(h2o_socket_t* aSocket, const char* aError);
   static void onRead(h2o_socket_t* aSocket, const char* aError);
   static void onWritten(h2o_socket_t* aSocket, const char* aError);
@@ -91,9 +98,7 @@
   http_parser mParser{};
   http_parser_settings mParserSettings{};
   ExchangeListener mListener;
-  /// Head and body of the request, until they are written.
-  std::string mRequestHead;
-  SharedBytes mRequestBody;
+  OutgoingRequest mOutgoing;
   ResponseHead mHead;
   TimePoint mLastCompletedAt;
   bool mConnected = false;
--- a/bulrushrun/net/HttpServer.cpp
+++ b/bulrushrun/net/HttpServer.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr std::uint64_t kRequestTimeoutMillis = 10000;
+/// Version as h2o represents it.
+constexpr int kHttp2 = 0x200;
 /// Bounds what one read of a connection brings.
 constexpr int kReceiveBufferBytes = 256 * 1024;
 /// Smaller bodies are copied, which costs less than a loan.
@@ -51,7 +53,7 @@
 {
   std::optional<RequestError> error =
     validateRequestLine(toView(aRequest.input.method), toView(aRequest.input.path));
-  if (!error && aRequest.version < 0x200) {
+  if (!error && aRequest.version < kHttp2) {
     error = validateFraming(rawHead(aRequest));
   }
   return error;
@@ -148,7 +150,7 @@
 {
   const std::string_view body =
     aRequest.entity.base == nullptr ? std::string_view{} : toView(aRequest.entity);
-  if (!mHandlers.mLendsBodies || aRequest.version >= 0x200 || body.size() < kMinLentBytes) {
+  if (!mHandlers.mLendsBodies || aRequest.version >= kHttp2 || body.size() < kMinLentBytes) {
     return std::string{ body };
   }
   const std::shared_ptr<BytesLoan> loan = std::make_shared<BytesLoan>(body);
--- a/bulrushrun/net/InputThrottle.h
+++ b/bulrushrun/net/InputThrottle.h
@@ -29,7 +29,8 @@
 /// While all of them exceed the budget, only those connections are read whose requests fit when
 /// complete; the ones with the most bytes come first, as they are likely to end soonest. Small
 /// requests are always read. At least one large request goes on, so that the held bytes stay below
-/// the budget, one body and what arrives between two updates.
+/// the budget, one body and what arrives between two updates. Not counted: the old buffer of a body
+/// while h2o copies it into a larger one, and HTTP/2.
 class InputThrottle
 {
 public:
