--- a/bulrushrun/steering/RequestProxyExchange.h
+++ b/bulrushrun/steering/RequestProxyExchange.h
@@ -80,7 +80,7 @@
   attempt.mHead = aHead;
   attempt.mMetadata = Codec::parseResponseMetadata(aHead);
   mPicker.stats(attempt.mTarget).onResponseStarted(mHost.now());
-  // What a response without an id says of the target may be out of date.
+  // The headers of a response without an id may describe an earlier state.
   if (attempt.mMetadata.mRequestId) {
     if (attempt.mMetadata.mLoad) {
       mPicker.stats(attempt.mTarget).onReport(attempt.mMetadata.mLoad->total(), mHost.now());
--- a/bulrushrun/steering/tests/RequestBodyTest.cpp
+++ b/bulrushrun/steering/tests/RequestBodyTest.cpp
@@ -56,7 +56,7 @@
     bytes.resize(static_cast<std::size_t>(std::max<ssize_t>(size, 0)));
     return bytes;
   }
-  /// Sends the whole body. \returns true when the target says that it received just this body
+  /// Sends the whole body. \returns true when the target reports the size and hash of this body
   bool upload()
   {
     sendBody(mBodyBytes);
