--- a/bulrushrun/core/StrongName.h
+++ b/bulrushrun/core/StrongName.h
@@ -34,6 +34,7 @@
 using RegionName = StrongName<struct RegionTag>;
 using ZoneName = StrongName<struct ZoneTag>;
 using TenantName = StrongName<struct TenantTag>;
+using CustomerName = StrongName<struct CustomerTag>;
 using ServiceName = StrongName<struct ServiceTag>;
 using ClassName = StrongName<struct ClassTag>;
 using InstanceId = StrongName<struct InstanceTag>;
--- /dev/null
+++ b/bulrushrun/customers.h
@@ -0,0 +1,8 @@
+#pragma once
+
+/// \file
+/// \brief Umbrella header of the customers module: who sends a request, as shown by its key, and
+/// what the configuration grants that customer.
+
+#include "bulrushrun/customers/Customer.h"
+#include "bulrushrun/customers/CustomerDirectory.h"
--- a/bulrushrun/routing/RoutePlan.h
+++ b/bulrushrun/routing/RoutePlan.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bulrushrun/core.h"
+#include "bulrushrun/customers.h"
 
 #include <map>
 #include <optional>
@@ -43,6 +44,8 @@
   std::vector<WeightedService> mServices;
   /// Regions in which requests may be served; empty for all regions.
   std::vector<RegionName> mHomeRegions;
+  /// Requests need no key, even where the plan names customers.
+  bool mAnonymous = false;
 };
 
 /// \brief Limits and health check path of one service.
@@ -74,6 +77,8 @@
   std::vector<Route> mRoutes;
   std::vector<ServicePolicy> mServices;
   CallerLimits mLimits;
+  /// Customers and their keys; absent when the configuration does not authenticate callers.
+  std::optional<CustomerDirectory> mCustomers;
 
   /// \brief Builds the index that match() uses; call once after all routes have been added.
   void buildIndex();
--- a/bulrushrun/steering/ProxiedRequest.h
+++ b/bulrushrun/steering/ProxiedRequest.h
@@ -47,6 +47,8 @@
   std::shared_ptr<const RoutePlan> mPlan;
   const Route* mRoute = nullptr;
   ServiceName mService;
+  /// Customer that sent the request, in mPlan; nullptr without a known key.
+  const Customer* mCustomer = nullptr;
   TimePoint mArrived;
   /// The earlier of the caller's deadline and the route's timeout.
   TimePoint mDeadline;
