A response without a valid status is not a response

http-parser accepts every status from 0 to 999. A status below 100 was taken for an interim response: the attempt waited for another response on the connection, up to its deadline, and took the next one for its own. A status above 599 was forwarded to the caller. Statuses other than 100 to 599 now end the exchange as interrupted: the attempt counts as broken and against the target, and the caller gets a retry where that is permitted, otherwise 502. HttpConnection is the only parser of responses, so the same holds for the store, peers and health checks.

--- a/bulrushrun/net/HttpConnectionParsing.cpp
+++ b/bulrushrun/net/HttpConnectionParsing.cpp
@@ -25,6 +25,10 @@
 constexpr int kMaxSkippedHeads = 8;
 constexpr std::size_t kMaxSkippedBytes = std::size_t{ 1024 } * 1024;
 constexpr unsigned kSwitchingProtocols = 101;
+/// Smallest status of an interim and of a final response, and the largest one.
+constexpr int kMinInterimStatus = 100;
+constexpr int kMinFinalStatus = 200;
+constexpr int kMaxStatus = 599;
 constexpr int kNoContent = 204;
 
 /// \returns true when the body has a transfer coding other than chunked, which would have to be
@@ -98,7 +102,11 @@
 {
   mReadingHeaderValue = false;
   const int status = static_cast<int>(mParser.status_code);
-  if (status < 200) {
+  // http-parser accepts any status from 0 to 999.
+  if (status < kMinInterimStatus || status > kMaxStatus) {
+    return failParsing("the status of the response is not valid");
+  }
+  if (status < kMinFinalStatus) {
     return onInterimHead();
   }
   if (hasMalformedName(mHead.mHeaders) || hasUnsupportedTransferCoding(mHead.mHeaders)) {
@@ -190,7 +198,7 @@
 int HttpConnection::onMessageComplete(http_parser* aParser)
 {
   HttpConnection* connection = static_cast<HttpConnection*>(aParser->data);
-  if (aParser->status_code < 200 || std::exchange(connection->mSkippingBody, false)) {
+  if (aParser->status_code < kMinFinalStatus || std::exchange(connection->mSkippingBody, false)) {
     connection->mHead = {};
     return 0;
   }
