Customers: keys are checked, home regions of customer and route apply together

Keys, priorities and home regions of customers in the configuration were not read, so requests without a valid key were served and requests ran outside the customers' home regions.

Targets get the customer's name instead of its key. The key is checked again before each further attempt if the configuration changed. HomeRegions stands for all, some or no regions. Key digests are kept as bytes instead of hexadecimal text.

--- a/bulrushrun/core/Hash.cpp
+++ b/bulrushrun/core/Hash.cpp
@@ -34,12 +34,17 @@
   return hexOfBytes(bytes.data(), bytes.size());
 }
 
+Sha256Digest sha256(std::string_view aBytes)
+{
+  Sha256Digest digest{};
+  EVP_Digest(aBytes.data(), aBytes.size(), digest.data(), nullptr, EVP_sha256(), nullptr);
+  return digest;
+}
+
 std::string sha256Hex(std::string_view aBytes)
 {
-  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-  unsigned int length = 0;
-  EVP_Digest(aBytes.data(), aBytes.size(), digest.data(), &length, EVP_sha256(), nullptr);
-  return hexOfBytes(digest.data(), length);
+  const Sha256Digest digest = sha256(aBytes);
+  return hexOfBytes(digest.data(), digest.size());
 }
 
 std::string hmacSha256(std::string_view aKey, std::string_view aBytes)
--- a/bulrushrun/core/Hash.h
+++ b/bulrushrun/core/Hash.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -42,6 +43,12 @@
 /// \brief \returns \a aValue as 16 hexadecimal digits.
 std::string toHex(std::uint64_t aValue);
 
+/// \brief SHA-256, as raw bytes.
+using Sha256Digest = std::array<unsigned char, 32>;
+
+/// \brief \returns the SHA-256 of \a aBytes.
+Sha256Digest sha256(std::string_view aBytes);
+
 /// \brief \returns the SHA-256 of \a aBytes as 64 hexadecimal digits.
 std::string sha256Hex(std::string_view aBytes);
 
--- a/bulrushrun/customers.h
+++ b/bulrushrun/customers.h
@@ -6,3 +6,7 @@
 
 #include "bulrushrun/customers/Customer.h"
 #include "bulrushrun/customers/CustomerDirectory.h"
+#include "bulrushrun/customers/HomeRegions.h"
+// Keys of requests.
+#include "bulrushrun/customers/CallerIdentification.h"
+#include "bulrushrun/customers/PresentedKey.h"
--- a/bulrushrun/customers/Customer.h
+++ b/bulrushrun/customers/Customer.h
@@ -3,10 +3,15 @@
 #include "bulrushrun/core.h"
 
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace bulrushrun {
 
+/// \brief \returns a name as a field of a log line: in quotes if it has spaces or letters beyond
+/// ASCII.
+std::string logText(const CustomerName& aName);
+
 /// \brief Limit on the requests of one customer, over all instances together.
 struct CustomerQuota
 {
--- a/bulrushrun/customers/CustomerDirectory.cpp
+++ b/bulrushrun/customers/CustomerDirectory.cpp
@@ -7,22 +7,22 @@
 
 bool CustomerDirectory::add(Customer aCustomer, const std::vector<std::string>& aKeys)
 {
-  std::vector<std::string> digests;
+  std::vector<Sha256Digest> digests;
   digests.reserve(aKeys.size());
   for (const std::string& key : aKeys) {
-    digests.push_back(sha256Hex(key));
+    digests.push_back(sha256(key));
   }
   const bool isTaken =
     mPositionsByName.contains(aCustomer.mName) ||
-    std::any_of(digests.begin(), digests.end(), [this](const std::string& aDigest) {
+    std::any_of(digests.begin(), digests.end(), [this](const Sha256Digest& aDigest) {
       return mPositionsByDigest.contains(aDigest);
     });
   if (isTaken) {
     return false;
   }
   const std::size_t position = mCustomers.size();
-  for (std::string& digest : digests) {
-    mPositionsByDigest.emplace(std::move(digest), position);
+  for (const Sha256Digest& digest : digests) {
+    mPositionsByDigest.emplace(digest, position);
   }
   mPositionsByName.emplace(aCustomer.mName, position);
   mCustomers.push_back(std::move(aCustomer));
@@ -31,7 +31,7 @@
 
 const Customer* CustomerDirectory::findByKey(std::string_view aKey) const
 {
-  const auto found = mPositionsByDigest.find(sha256Hex(aKey));
+  const auto found = mPositionsByDigest.find(sha256(aKey));
   return found == mPositionsByDigest.end() ? nullptr : &mCustomers[found->second];
 }
 
--- a/bulrushrun/customers/CustomerDirectory.h
+++ b/bulrushrun/customers/CustomerDirectory.h
@@ -3,6 +3,7 @@
 #include "bulrushrun/customers/Customer.h"
 
 #include <cstddef>
+#include <cstring>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -17,7 +18,7 @@
 {
 public:
   /// \brief Adds a customer with its keys.
-  /// \returns false, and adds nothing, when one of the keys belongs to another customer
+  /// \returns false, and adds nothing, when its name or one of the keys belongs to another customer
   bool add(Customer aCustomer, const std::vector<std::string>& aKeys);
 
   /// \brief \returns the customer that holds a key, or nullptr. O(1)
@@ -30,9 +31,20 @@
   std::size_t keyCount() const { return mPositionsByDigest.size(); }
 
 private:
+  /// Digests are spread evenly, so that any part of one is a hash.
+  struct DigestHash
+  {
+    std::size_t operator()(const Sha256Digest& aDigest) const
+    {
+      std::size_t hash = 0;
+      std::memcpy(&hash, aDigest.data(), sizeof(hash));
+      return hash;
+    }
+  };
+
   std::vector<Customer> mCustomers;
   /// Positions in mCustomers.
-  std::unordered_map<std::string, std::size_t> mPositionsByDigest;
+  std::unordered_map<Sha256Digest, std::size_t, DigestHash> mPositionsByDigest;
   std::unordered_map<CustomerName, std::size_t> mPositionsByName;
 };
 
--- a/bulrushrun/steering/ObjectPlacer.cpp
+++ b/bulrushrun/steering/ObjectPlacer.cpp
@@ -66,7 +66,7 @@
   if (!isRegistered) {
     // Home regions bind whatever moves with them.
     const std::optional<ZoneName> left =
-      known && aQuery.mHomeRegions.empty() && aContext.mTargets != nullptr
+      known && !aQuery.mHomeRegions.isRestricted() && aContext.mTargets != nullptr
         ? aContext.mTargets->zoneOfLeaving(known->mTarget.value())
         : std::nullopt;
     return left ? chooseAnew(aContext.mZones.regionIndex(*left), aCandidates, placementTargets)
@@ -79,7 +79,7 @@
   if (keeper == aCandidates.end()) {
     return std::nullopt;
   }
-  if (aQuery.mHomeRegions.empty()) {
+  if (!aQuery.mHomeRegions.isRestricted()) {
     if (const std::optional<TargetHash> better = rebalance(*known, *keeper, aCandidates, aNow)) {
       return better;
     }
--- a/bulrushrun/steering/PickQuery.h
+++ b/bulrushrun/steering/PickQuery.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "bulrushrun/customers.h"
 #include "bulrushrun/discovery.h"
 #include "bulrushrun/limits/TargetQuota.h"
 #include "bulrushrun/routing/ZoneTopology.h"
 
 #include <set>
-#include <vector>
 
 namespace bulrushrun {
 
@@ -28,8 +28,8 @@
   bool mLargeResponse = false;
   /// Targets that were attempted before.
   std::set<TargetId> mTriedTargets;
-  /// Regions in which the request may be served; empty for all.
-  std::vector<RegionName> mHomeRegions;
+  /// Regions in which the request may be served.
+  HomeRegions mHomeRegions;
   /// Requests per second that a cold target of the service may get from all instances together.
   double mColdRateLimit = 0;
   /// Time after its registration for which a target counts as cold.
--- a/bulrushrun/steering/ProxiedRequest.h
+++ b/bulrushrun/steering/ProxiedRequest.h
@@ -19,6 +19,8 @@
   ZoneName mZone;
   /// Incarnation of the target when the attempt started.
   Incarnation mIncarnation;
+  /// Regions in which the request could be served when the attempt started.
+  HomeRegions mHomeRegions;
   TimePoint mStarted;
   /// The response head, buffered until the body is complete or exceeds the buffer.
   std::optional<ResponseHead> mHead;
@@ -47,8 +49,16 @@
   std::shared_ptr<const RoutePlan> mPlan;
   const Route* mRoute = nullptr;
   ServiceName mService;
-  /// Customer that sent the request, in mPlan; nullptr without a known key.
+  /// Configuration in which the customer was identified; keeps mCustomer alive.
+  std::shared_ptr<const RoutePlan> mIdentityPlan;
+  /// Customer that sent the request, in mIdentityPlan; nullptr without a known key.
   const Customer* mCustomer = nullptr;
+  /// Why no further attempt may be made, since the configuration changed.
+  std::optional<KeyRefusal> mKeyRefusal;
+  /// Effective priority: the customer's, or else the route's; 0 is the highest.
+  int mPriority = 0;
+  /// Regions in which the request may be served: those that the route and the customer share.
+  HomeRegions mHomeRegions;
   TimePoint mArrived;
   /// The earlier of the caller's deadline and the route's timeout.
   TimePoint mDeadline;
--- a/bulrushrun/steering/RequestProxy.h
+++ b/bulrushrun/steering/RequestProxy.h
@@ -59,8 +59,8 @@
 /// instances. The RequestStateMachine decides what may be done with a request, the TargetPicker
 /// where it is sent.
 ///
-/// \tparam Codec  header codec with parseRequestMetadata, parseResponseMetadata,
-/// removeTargetHeaders and setForwardingHeaders
+/// \tparam Codec  header codec with parseRequestMetadata, parsePresentedKey, keyChallengeHeaders,
+/// parseResponseMetadata, removeTargetHeaders, setForwardingHeaders and setCustomerHeaders
 template<class HostType, class Codec>
 class RequestProxy
 {
@@ -141,6 +141,7 @@
   static constexpr int kUnresponsiveLatencyFactor = 4;
   static constexpr int kUnresponsiveTargetFactor = 2;
   static constexpr Duration kMinUnresponsiveAfter = std::chrono::milliseconds(800);
+  static constexpr int kUnauthorized = 401;
   static constexpr const char* kShuttingDownText =
     "this instance is shutting down; use another one";
   /// The rest of a target is prolonged by a random part of up to this fraction, so that the
@@ -152,7 +153,11 @@
   static constexpr double kMinRetryTimeShare = 0.5;
 
   // Admission.
-  void refuseBeforeAdmission(ResponderType& aResponder, int aStatus, const std::string& aText);
+  void refuseBeforeAdmission(ResponderType& aResponder,
+                             int aStatus,
+                             const std::string& aText,
+                             Headers aHeaders = {},
+                             const std::string& aLogFields = {});
   bool canEndBeforeExit(const Route& aRoute, TimePoint aDeadline) const;
   TimePoint responseDue(const Request& aRequest) const;
   void recordRunTime(const Request& aRequest, Duration aElapsed);
@@ -162,20 +167,34 @@
   void onCallerDisconnected(RequestId aId);
   bool endIfCallerLeft(Request& aRequest);
 
+  // Customers.
+  CallerIdentification identify(const HttpRequest& aRequest, const Route& aRoute) const;
+  void refuseKey(ResponderType& aResponder,
+                 KeyRefusal aRefusal,
+                 const Route& aRoute,
+                 const RequestMetadata& aMetadata);
+  static std::string keyRefusalText(KeyRefusal aRefusal);
+  void setIdentity(Request& aRequest,
+                   const CallerIdentification& aCaller,
+                   const Route& aRoute) const;
+  const Route& routeInForce(const Request& aRequest) const;
+  bool refreshIdentity(Request& aRequest);
+  void respondKeyRefused(Request& aRequest);
+  static std::string identityText(const Request& aRequest);
+
   // Actions of the state machine.
   void apply(RequestId aId, RequestEvent aEvent);
   void perform(Request& aRequest, RequestAction aAction);
   void dispatch(Request& aRequest);
   void announcePlacement(const Request& aRequest, const Placement& aPlacement);
   void retry(Request& aRequest);
-  bool mayRetry(const Request& aRequest);
+  bool mayRetry(Request& aRequest);
   void respondNotRun(Request& aRequest);
   void respondFailed(Request& aRequest);
   void sendLocalResponse(Request& aRequest,
                          int aStatus,
                          Headers aHeaders,
                          const std::string& aText);
-  static std::string homeRegionText(const Request& aRequest);
   void finish(Request& aRequest, const char* aOutcome, int aStatus);
 
   // Attempts at targets.
@@ -205,7 +224,6 @@
   static bool isSuccess(int aStatus) { return aStatus >= 200 && aStatus < 300; }
 
   Request* find(RequestId aId);
-  const std::vector<RegionName>& homeRegions(const Request& aRequest) const;
   PickQuery makePickQuery(const Request& aRequest) const;
   std::string retryAfter(const Request& aRequest);
   Duration smoothedLatency(const ServiceName& aService) const;
@@ -226,6 +244,7 @@
   std::function<void(const TargetId&, const LoadReport&)> mOnLoadReport;
   std::function<void(const TargetRate&)> mOnTargetRate;
   RequestProxyCounters mCounters;
+  std::map<KeyRefusal, std::uint64_t> mKeyRefusals;
   ServiceMetrics mMetrics;
   RegionShares mRegionShares;
   TimePoint mSharesLoggedAt;
@@ -236,6 +255,8 @@
 
 // Definitions of the member functions: admission.
 #include "bulrushrun/steering/RequestProxyAdmission.h"
+// Customers.
+#include "bulrushrun/steering/RequestProxyIdentity.h"
 // Actions of the state machine.
 #include "bulrushrun/steering/RequestProxyActions.h"
 // Attempts at targets.
--- a/bulrushrun/steering/RequestProxyActions.h
+++ b/bulrushrun/steering/RequestProxyActions.h
@@ -57,20 +57,6 @@
   }
 }
 
-/// \returns the regions in which the request may be served. Those of the configuration in force
-/// bind also a request that was taken under an earlier one and is sent again.
-template<class HostType, class Codec>
-const std::vector<RegionName>& RequestProxy<HostType, Codec>::homeRegions(
-  const Request& aRequest) const
-{
-  const std::string_view path = aRequest.mRequest.mPath;
-  const Route* inForce =
-    aRequest.mPlan == mSteeringState.mPlan
-      ? nullptr
-      : mSteeringState.mPlan->match(aRequest.mRequest.mAuthority, path.substr(0, path.find('?')));
-  return inForce == nullptr ? aRequest.mRoute->mHomeRegions : inForce->mHomeRegions;
-}
-
 template<class HostType, class Codec>
 PickQuery RequestProxy<HostType, Codec>::makePickQuery(const Request& aRequest) const
 {
@@ -83,7 +69,7 @@
   }
   query.mLargeResponse = route.mLargeResponses;
   query.mTriedTargets = aRequest.mTriedTargets;
-  query.mHomeRegions = homeRegions(aRequest);
+  query.mHomeRegions = aRequest.mHomeRegions;
   const ServicePolicy* servicePolicy = aRequest.mPlan->servicePolicy(aRequest.mService);
   if (servicePolicy != nullptr) {
     query.mColdRateLimit = servicePolicy->mColdRequestsPerSecond * mSteeringState.mColdFactor +
@@ -100,6 +86,10 @@
   if (endIfCallerLeft(aRequest)) {
     return;
   }
+  if (!refreshIdentity(aRequest)) {
+    apply(aRequest.mId, RequestEvent::Refused);
+    return;
+  }
   const TimePoint now = mHost.now();
   const PickResult pick = mPicker.pick(makePickQuery(aRequest),
                                        mSteeringState.mTargets.usable(aRequest.mService, now),
@@ -115,7 +105,9 @@
   }
   if (pick.mTarget == nullptr) {
     if (aRequest.mReason.empty()) {
-      aRequest.mReason = describe(pick.mFailure);
+      aRequest.mReason = aRequest.mHomeRegions.isNone()
+                           ? "the route and the customer have no home region in common"
+                           : describe(pick.mFailure);
     }
     apply(aRequest.mId, RequestEvent::Refused);
     return;
@@ -143,8 +135,11 @@
 }
 
 template<class HostType, class Codec>
-bool RequestProxy<HostType, Codec>::mayRetry(const Request& aRequest)
+bool RequestProxy<HostType, Codec>::mayRetry(Request& aRequest)
 {
+  if (!refreshIdentity(aRequest)) {
+    return false;
+  }
   const TimePoint now = mHost.now();
   const double latency = static_cast<double>(smoothedLatency(aRequest.mService).count());
   const Duration minRemaining{ static_cast<std::int64_t>(kMinRetryTimeShare * latency) };
@@ -214,6 +209,10 @@
 {
   constexpr int kUnavailable = 503;
   ++mCounters.mRefused;
+  if (aRequest.mKeyRefusal && aRequest.mAttempts == 0) {
+    respondKeyRefused(aRequest);
+    return;
+  }
   sendLocalResponse(aRequest,
                     kUnavailable,
                     { { "Retry-After", retryAfter(aRequest) } },
@@ -248,21 +247,6 @@
   respond(*aRequest.mResponder, response);
 }
 
-/// \returns the home regions of the route and the zone of the last target, for the log; empty for a
-/// route without home regions.
-template<class HostType, class Codec>
-std::string RequestProxy<HostType, Codec>::homeRegionText(const Request& aRequest)
-{
-  const std::vector<RegionName>& regions = aRequest.mRoute->mHomeRegions;
-  std::string text;
-  for (const RegionName& region : regions) {
-    text += (text.empty() ? " home_regions=" : ",") + region.text();
-  }
-  return regions.empty()
-           ? text
-           : text + " target_zone=" + (aRequest.mAttempt ? aRequest.mAttempt->mZone.text() : "-");
-}
-
 template<class HostType, class Codec>
 void RequestProxy<HostType, Codec>::finish(Request& aRequest, const char* aOutcome, int aStatus)
 {
@@ -285,9 +269,9 @@
               " cold_limited=" + std::to_string(aRequest.mColdLimited) +
               " rate_limited=" + std::to_string(aRequest.mRateLimited) +
               " news_age_ms=" + std::to_string(toMillis(now - mSteeringState.mSyncedAt)) +
-              " sends=" + std::to_string(aRequest.mAttempts) + " outcome=" + aOutcome + " status=" +
-              std::to_string(aStatus) + " ms=" + std::to_string(toMillis(now - aRequest.mArrived)) +
-              homeRegionText(aRequest) +
+              " sends=" + std::to_string(aRequest.mAttempts) + " outcome=" + aOutcome +
+              " status=" + std::to_string(aStatus) +
+              " ms=" + std::to_string(toMillis(now - aRequest.mArrived)) + identityText(aRequest) +
               (aRequest.mReason.empty() ? "" : " reason=\"" + aRequest.mReason + "\""));
   mRequests.erase(aRequest.mId.value());
 }
--- a/bulrushrun/steering/RequestProxyAdmission.h
+++ b/bulrushrun/steering/RequestProxyAdmission.h
@@ -10,11 +10,14 @@
 template<class HostType, class Codec>
 void RequestProxy<HostType, Codec>::refuseBeforeAdmission(ResponderType& aResponder,
                                                           int aStatus,
-                                                          const std::string& aText)
+                                                          const std::string& aText,
+                                                          Headers aHeaders,
+                                                          const std::string& aLogFields)
 {
   HttpResponse response;
   response.mHead.mStatus = aStatus;
-  response.mHead.mHeaders = { { "Content-Type", "text/plain" } };
+  response.mHead.mHeaders = std::move(aHeaders);
+  response.mHead.mHeaders.push_back({ "Content-Type", "text/plain" });
   if (aStatus == 503) {
     response.mHead.mHeaders.push_back({ "Retry-After", "0.5" });
   }
@@ -23,7 +26,7 @@
   respond(aResponder, response);
   ++mCounters.mRefused;
   mHost.log(events::kRequestRefused,
-            "status=" + std::to_string(aStatus) + " reason=\"" + aText + "\"");
+            aLogFields + "status=" + std::to_string(aStatus) + " reason=\"" + aText + "\"");
 }
 
 template<class HostType, class Codec>
@@ -109,6 +112,13 @@
     refuseBeforeAdmission(*aResponder, 503, kShuttingDownText);
     return;
   }
+  const CallerIdentification caller = identify(aRequest, *route);
+  if (caller.mRefusal) {
+    refuseKey(*aResponder, *caller.mRefusal, *route, metadata);
+    return;
+  }
+  // Quotas are checked here: the customer, its effective priority and the route are known, and the
+  // request is not in progress yet.
   mLastId = mLastId.next();
   const RetryPolicy policy =
     route->mIdempotent ? RetryPolicy::Unrestricted : RetryPolicy::AtMostOnceUnclaimed;
@@ -121,6 +131,7 @@
   request.mPlan = mSteeringState.mPlan;
   request.mRoute = route;
   request.mService = mServiceSplits[route->mName].next(route->mServices);
+  setIdentity(request, caller, *route);
   request.mArrived = aArrived;
   request.mDeadline = deadline;
   setCallerCallbacks(request);
--- a/bulrushrun/steering/RequestProxyExchange.h
+++ b/bulrushrun/steering/RequestProxyExchange.h
@@ -17,6 +17,7 @@
   aRequest.mAttempt->mTarget = target.mId;
   aRequest.mAttempt->mZone = target.mZone;
   aRequest.mAttempt->mIncarnation = target.mIncarnation;
+  aRequest.mAttempt->mHomeRegions = aRequest.mHomeRegions;
   aRequest.mAttempt->mStarted = now;
   aRequest.mStateMachine.apply(RequestEvent::Dispatched);
   mPicker.stats(target.mId).onAttemptStarted(now);
@@ -25,6 +26,9 @@
   request.mHeaders = endToEndHeaders(request.mHeaders);
   Codec::setForwardingHeaders(
     request, std::max(responseDue(aRequest) - now, Duration{ 1000 }), target.mId);
+  if (mSteeringState.mPlan->mCustomers) {
+    Codec::setCustomerHeaders(request.mHeaders, aRequest.mCustomer);
+  }
   if (aRequest.mRoute->mIdempotent) {
     const RequestId id = aRequest.mId;
     const int attemptNumber = ++aRequest.mStartedAttempts;
--- a/bulrushrun/steering/TargetPicker.cpp
+++ b/bulrushrun/steering/TargetPicker.cpp
@@ -10,9 +10,7 @@
 
 bool isInHomeRegion(const PickQuery& aQuery, const ZoneName& aZone, const ZoneTopology& aZones)
 {
-  const std::vector<RegionName>& regions = aQuery.mHomeRegions;
-  return regions.empty() ||
-         std::find(regions.begin(), regions.end(), aZones.regionOf(aZone)) != regions.end();
+  return aQuery.mHomeRegions.contains(aZones.regionOf(aZone));
 }
 
 bool mayServe(const KnownTarget& aTarget, const PickQuery& aQuery, const PickContext& aContext)
--- a/bulrushrun/steering/TargetSelection.cpp
+++ b/bulrushrun/steering/TargetSelection.cpp
@@ -121,7 +121,7 @@
   const bool isDisplaced = keeper != aUsable.end() && !isKeeperFirst;
   if (aQuery.mTriedTargets.empty()) {
     ++mKeyedRequests;
-    if (keeper != aUsable.end() && aQuery.mHomeRegions.empty()) {
+    if (keeper != aUsable.end() && !aQuery.mHomeRegions.isRestricted()) {
       mReturns.onRequest(isDisplaced || (first.mReturned < 1 && !first.mIsNew));
     }
   }
@@ -178,7 +178,8 @@
     aContext.mInstanceHash, zones.regionCount(), kShareChangePart * aContext.mMaxShift, aNow);
   // Home regions bind whatever moves with them; what is in an unknown zone counts for no region.
   const auto isLimited = [&](const Candidate& aCandidate) {
-    return aQuery.mHomeRegions.empty() && aCandidate.mRegion != ZoneTopology::kUnknownRegion;
+    return !aQuery.mHomeRegions.isRestricted() &&
+           aCandidate.mRegion != ZoneTopology::kUnknownRegion;
   };
   const auto mayUse = [&](const Candidate& aCandidate) {
     return !isLimited(aCandidate) || limiter.mayUse(static_cast<std::size_t>(aCandidate.mRegion));
@@ -213,7 +214,7 @@
                              : isRegionLost ? RegionChoice::Displaced
                                             : RegionChoice::Overflow;
     }
-    if (aQuery.mHomeRegions.empty() && region != ZoneTopology::kUnknownRegion) {
+    if (!aQuery.mHomeRegions.isRestricted() && region != ZoneTopology::kUnknownRegion) {
       limiter.onRequest(static_cast<std::size_t>(region));
     }
   }
--- a/bulrushrun/steering/tests/FleetSimulation.cpp
+++ b/bulrushrun/steering/tests/FleetSimulation.cpp
@@ -236,7 +236,10 @@
                R"(","sequence":1,"coldRemainingMs":)" + std::to_string(aColdMillis) + "}}");
 }
 
-void FleetSimulation::putPlan(int aVersion, const std::string& aKind, const std::string& aExtra)
+void FleetSimulation::putPlan(int aVersion,
+                              const std::string& aKind,
+                              const std::string& aExtra,
+                              const std::string& aMembers)
 {
   mStore.put("op",
              "config",
@@ -244,12 +247,13 @@
                R"(","routes":[{"name":"r1","host":"shop","pathPrefix":"/a/","kind":")" + aKind +
                R"(","timeoutMs":2000,"service":"s","maxAttempts":2,"sticky":true)" + aExtra +
                R"(}],"services":[{"name":"s","coldStartS":3.0,"coldPerS":2}],)" +
-               R"("limits":{"maxHeaderBytes":1000,"maxBodyBytes":1000}})");
+               R"("limits":{"maxHeaderBytes":1000,"maxBodyBytes":1000})" + aMembers + "}");
 }
 
 std::shared_ptr<RecordingResponder> FleetSimulation::sendRequest(const std::string& aNode,
                                                                  const std::string& aId,
-                                                                 const std::string& aAffinityKey)
+                                                                 const std::string& aAffinityKey,
+                                                                 const Headers& aHeaders)
 {
   HttpRequest request;
   request.mMethod = "GET";
@@ -259,6 +263,7 @@
   if (!aAffinityKey.empty()) {
     request.mHeaders.push_back({ "X-Affinity-Key", aAffinityKey });
   }
+  request.mHeaders.insert(request.mHeaders.end(), aHeaders.begin(), aHeaders.end());
   const std::shared_ptr<RecordingResponder> responder = std::make_shared<RecordingResponder>();
   node(aNode).handleCaller(request, responder);
   run(2 * kLinkLatency);
--- a/bulrushrun/steering/tests/FleetSimulation.h
+++ b/bulrushrun/steering/tests/FleetSimulation.h
@@ -130,11 +130,17 @@
   /// \brief Removes the registration of a target.
   void removeTarget(const std::string& aId) { mStore.remove("servers", aId); }
   /// \brief Writes a configuration with one route, `/a/` of host `shop`, to service `s`.
-  void putPlan(int aVersion, const std::string& aKind, const std::string& aExtra = "");
+  /// \param aExtra  further fields of the route
+  /// \param aMembers  further members of the document
+  void putPlan(int aVersion,
+               const std::string& aKind,
+               const std::string& aExtra = "",
+               const std::string& aMembers = "");
   /// \brief Sends a caller's request to an instance.
   std::shared_ptr<RecordingResponder> sendRequest(const std::string& aNode,
                                                   const std::string& aId,
-                                                  const std::string& aAffinityKey = "");
+                                                  const std::string& aAffinityKey = "",
+                                                  const Headers& aHeaders = {});
   /// \brief \returns the pending exchanges with targets, oldest first.
   std::vector<ExchangeId> targetExchanges() const;
   const PendingExchange& exchange(ExchangeId aExchange) const
