Quotas of customers: messages over gossip, gate in the proxy, settings, metrics, events

Requests of customers with a quota take a token before their first attempt and before each repeat of one that may have been executed. Requests without a token wait briefly or get 429.

--- a/bulrushrun/host/EventCatalogue.h
+++ b/bulrushrun/host/EventCatalogue.h
@@ -69,6 +69,11 @@
 inline constexpr Event kRegionShares{ 8005, Severity::Info, "region-shares" };
 inline constexpr Event kReadingPaused{ 8006, Severity::Warn, "reading-paused" };
 inline constexpr Event kReadingResumed{ 8007, Severity::Info, "reading-resumed" };
+inline constexpr Event kQuotasAdopted{ 9001, Severity::Info, "quotas-adopted" };
+inline constexpr Event kQuotaCoordinator{ 9002, Severity::Info, "quota-coordinator" };
+inline constexpr Event kQuotaAlone{ 9003, Severity::Warn, "quota-alone" };
+inline constexpr Event kQuotaCoordinated{ 9004, Severity::Info, "quota-coordinated" };
+inline constexpr Event kQuotaExceeded{ 9005, Severity::Info, "quota-exceeded" };
 
 inline constexpr std::array kAllEvents{
   kInstanceStarted,      kInstanceReady,        kDrainStarted,         kDrainEnded,
@@ -85,7 +90,8 @@
   kPlacementsLoaded,     kPlacementsNotSaved,   kPlacementsNotLoaded,  kRowsAdopted,
   kRowsUnreadable,       kReplicaDiverged,      kTargetHeaderIgnored,  kTargetResting,
   kTransferInterrupted,  kTargetRateLimited,    kRegionShares,         kReadingPaused,
-  kReadingResumed,       kTableRejected
+  kReadingResumed,       kTableRejected,        kQuotasAdopted,        kQuotaCoordinator,
+  kQuotaAlone,           kQuotaCoordinated,     kQuotaExceeded
 };
 
 } // namespace bulrushrun::events
--- a/bulrushrun/quotas.h
+++ b/bulrushrun/quotas.h
@@ -13,3 +13,7 @@
 #include "bulrushrun/quotas/TokenAccount.h"
 #include "bulrushrun/quotas/TokenPool.h"
 #include "bulrushrun/quotas/WaitingRequests.h"
+// Exchange over gossip, and the admission of requests.
+#include "bulrushrun/quotas/QuotaExchange.h"
+#include "bulrushrun/quotas/QuotaGate.h"
+#include "bulrushrun/quotas/QuotaMetrics.h"
--- a/bulrushrun/quotas/QuotaCoordinator.h
+++ b/bulrushrun/quotas/QuotaCoordinator.h
@@ -53,7 +53,8 @@
   /// Seconds of the fleet's accrual that may flow in at once after a pause, and that may wait.
   static constexpr double kMaxInflow = 0.1;
   static constexpr double kMaxPending = 0.25;
-  /// Part of the overage that is used as capacity; the rest covers tokens that are not accounted for.
+  /// Part of the overage that is used as capacity; the rest covers tokens that are not accounted
+  /// for.
   static constexpr double kOverageAsCapacity = 0.3;
   /// Part of the share by which it may decrease without effect on pools that are not in use.
   static constexpr double kMaxShareLoss = 0.05;
--- a/bulrushrun/quotas/QuotaHolder.cpp
+++ b/bulrushrun/quotas/QuotaHolder.cpp
@@ -141,8 +141,7 @@
     return mReportedAt + QuotaTiming::kMinReportGap;
   }
   const bool isBusy = mActive || mUnansweredSince;
-  const Duration regular =
-    isBusy ? period : QuotaTiming::idlePeriod(mMembership.mInstances);
+  const Duration regular = isBusy ? period : QuotaTiming::idlePeriod(mMembership.mInstances);
   return mReportedAt + fromSeconds(toSeconds(regular) * mPeriodFactor);
 }
 
@@ -173,8 +172,7 @@
   mActive = false;
   for (auto entry = mAccounts.begin(); entry != mAccounts.end();) {
     Account& used = entry->second;
-    const bool isFull =
-      reports.empty() || reports.back().mDemands.size() >= kMaxDemandsPerReport;
+    const bool isFull = reports.empty() || reports.back().mDemands.size() >= kMaxDemandsPerReport;
     const std::uint64_t number = mSequenceNumber + (isFull ? 1 : 0);
     const std::optional<QuotaDemand> wanted = demand(LimitId{ entry->first }, used, number, aNow);
     mActive = mActive || wanted || aNow - used.mUsedAt < kSpareMemory;
@@ -230,14 +228,13 @@
   const std::uint64_t held = aAccount.mTokens.available(aNow) + askedOther;
   mCounters.mLapsed += aAccount.mTokens.takeNewlyLapsed();
   constexpr std::uint64_t kMaxTokens = 100'000;
-  QuotaDemand wanted{
-    aLimit, waiting, 0, 0, aAccount.mTokens.spent(), aAccount.mTokens.lapsed()
-  };
+  QuotaDemand wanted{ aLimit, waiting, 0, 0, aAccount.mTokens.spent(), aAccount.mTokens.lapsed() };
   if (needed > held) {
     wanted.mExpected = static_cast<std::uint32_t>(std::min(needed - held, kMaxTokens));
   }
   if (useful > std::max(held, needed)) {
-    wanted.mSpare = static_cast<std::uint32_t>(std::min(useful - std::max(held, needed), kMaxTokens));
+    wanted.mSpare =
+      static_cast<std::uint32_t>(std::min(useful - std::max(held, needed), kMaxTokens));
   }
   const bool isKnown =
     wanted.mSpent == aAccount.mKnownSpent && wanted.mLapsed == aAccount.mKnownLapsed;
@@ -296,9 +293,8 @@
     Account& used = found->second;
     used.mTokens.add(grant.mDirect, directExpires, false);
     used.mTokens.add(grant.mHeld, expires, true);
-    std::erase_if(used.mAsks, [&](const Ask& aAsk) {
-      return aAsk.mReportNumber == aGrant.mSequenceNumber;
-    });
+    std::erase_if(used.mAsks,
+                  [&](const Ask& aAsk) { return aAsk.mReportNumber == aGrant.mSequenceNumber; });
     used.mScarce = grant.mScarce;
     used.mNoTokenUntil = aNow + grant.mNextTokenIn;
     if (used.mReportNumber == aGrant.mSequenceNumber) {
--- a/bulrushrun/quotas/QuotaHolder.h
+++ b/bulrushrun/quotas/QuotaHolder.h
@@ -65,7 +65,8 @@
   QuotaDecision admit(LimitId aLimit, Duration aMaxWait, TimePoint aNow);
   /// \brief Takes a token for a request that is known already. \returns false when there is none
   bool take(LimitId aLimit, TimePoint aNow);
-  /// \brief Returns the token of a request that was not executed. \param aTakenAt  when it was taken
+  /// \brief Returns the token of a request that was not executed. \param aTakenAt  when it was
+  /// taken
   void giveBack(LimitId aLimit, TimePoint aTakenAt, TimePoint aNow);
   /// \brief \returns the time after which a token is expected.
   Duration nextTokenIn(LimitId aLimit, TimePoint aNow);
--- a/bulrushrun/quotas/QuotaLimits.cpp
+++ b/bulrushrun/quotas/QuotaLimits.cpp
@@ -9,7 +9,8 @@
 {
   for (const Customer& customer : aCustomers) {
     const CustomerQuota& quota = customer.mQuota;
-    if (!quota.isLimited() || !std::isfinite(quota.mRatePerSecond) || mIds.contains(customer.mName)) {
+    if (!quota.isLimited() || !std::isfinite(quota.mRatePerSecond) ||
+        mIds.contains(customer.mName)) {
       continue;
     }
     std::uint64_t id = aHash(customer.mName.text());
--- a/bulrushrun/quotas/QuotaLimits.h
+++ b/bulrushrun/quotas/QuotaLimits.h
@@ -41,7 +41,8 @@
   QuotaLimits() = default;
   /// \brief Takes the customers with a quota. Two names with the same hash get different ids, which
   /// are the same in all instances that have the same configuration.
-  explicit QuotaLimits(const std::vector<Customer>& aCustomers, const HashFunction& aHash = hashText);
+  explicit QuotaLimits(const std::vector<Customer>& aCustomers,
+                       const HashFunction& aHash = hashText);
 
   /// \brief \returns the limit, or nullptr. O(1)
   const QuotaLimit* find(LimitId aId) const;
--- a/bulrushrun/quotas/QuotaMessage.h
+++ b/bulrushrun/quotas/QuotaMessage.h
@@ -23,7 +23,8 @@
   std::uint32_t mExpected = 0;
   /// Tokens for requests that may come, granted only when the pool is not scarce.
   std::uint32_t mSpare = 0;
-  /// Of the tokens to be accounted for: those spent and those that expired, since the session began.
+  /// Of the tokens to be accounted for: those spent and those that expired, since the session
+  /// began.
   std::uint64_t mSpent = 0;
   std::uint64_t mLapsed = 0;
 };
--- a/bulrushrun/quotas/QuotaTiming.h
+++ b/bulrushrun/quotas/QuotaTiming.h
@@ -42,9 +42,9 @@
   static Duration idlePeriod(std::size_t aInstances)
   {
     const Duration period = reportPeriod(aInstances);
-    return std::max(period,
-                    std::min(fromSeconds(kMaxIdleDeposit * static_cast<double>(aInstances)),
-                             kMaxIdlePeriod));
+    return std::max(
+      period,
+      std::min(fromSeconds(kMaxIdleDeposit * static_cast<double>(aInstances)), kMaxIdlePeriod));
   }
   /// \brief \returns how long a token may be used after the report that asked for it was sent.
   static Duration lifetime(std::size_t aInstances)
--- a/bulrushrun/quotas/TokenPool.cpp
+++ b/bulrushrun/quotas/TokenPool.cpp
@@ -103,9 +103,8 @@
   mSweptAt = aNow;
   for (auto entry = mHoldings.begin(); entry != mHoldings.end();) {
     Holding& holding = entry->second;
-    while (!holding.mGranted.empty() &&
-           aNow - holding.mGranted.front().mAt >
-             QuotaTiming::kMaxLifetime + QuotaTiming::kSettleTime) {
+    while (!holding.mGranted.empty() && aNow - holding.mGranted.front().mAt >
+                                          QuotaTiming::kMaxLifetime + QuotaTiming::kSettleTime) {
       mOutstanding -= holding.mGranted.front().mTokens;
       holding.mGranted.pop_front();
     }
--- a/bulrushrun/quotas/TokenPool.h
+++ b/bulrushrun/quotas/TokenPool.h
@@ -17,7 +17,8 @@
 class TokenPool
 {
 public:
-  /// \param aDeposited  seconds of the whole fleet's accrual that were deposited when the pool was empty
+  /// \param aDeposited  seconds of the whole fleet's accrual that were deposited when the pool was
+  /// empty
   explicit TokenPool(double aDeposited)
     : mDeposited(aDeposited)
   {
--- a/bulrushrun/quotas/WaitingRequests.h
+++ b/bulrushrun/quotas/WaitingRequests.h
@@ -34,9 +34,10 @@
   /// \brief Removes a request. \returns it, or nothing when it does not wait
   std::optional<WaitingRequest> remove(RequestId aId)
   {
-    const auto found = std::find_if(mRequests.begin(),
-                                    mRequests.end(),
-                                    [&](const WaitingRequest& aOther) { return aOther.mId == aId; });
+    const auto found =
+      std::find_if(mRequests.begin(), mRequests.end(), [&](const WaitingRequest& aOther) {
+        return aOther.mId == aId;
+      });
     if (found == mRequests.end()) {
       return std::nullopt;
     }
--- a/bulrushrun/quotas/tests/QuotaFleet.h
+++ b/bulrushrun/quotas/tests/QuotaFleet.h
@@ -15,8 +15,8 @@
 
 namespace bulrushrun::tests {
 
-/// \brief Model of a fleet that shares quotas: virtual clock, delayed and lost messages, partitions,
-/// deaths and restarts.
+/// \brief Model of a fleet that shares quotas: virtual clock, delayed and lost messages,
+/// partitions, deaths and restarts.
 class QuotaFleet
 {
 public:
@@ -83,8 +83,8 @@
     Node& node = mNodes[aNode];
     node.mUp = true;
     node.mAccruesFrom = std::max(mNow, aAccruesFrom);
-    node.mHolder =
-      std::make_unique<QuotaHolder>(Endpoint{ static_cast<std::uint32_t>(aNode), 1 }, mRandom.next());
+    node.mHolder = std::make_unique<QuotaHolder>(Endpoint{ static_cast<std::uint32_t>(aNode), 1 },
+                                                 mRandom.next());
     node.mCoordinator = std::make_unique<QuotaCoordinator>();
     node.mHolder->setLimits(mLimits);
     node.mCoordinator->setLimits(mLimits, mNow);
@@ -193,12 +193,12 @@
       std::optional<std::size_t> best;
       std::uint32_t known = 0;
       for (std::size_t j = 0; j < mNodes.size(); ++j) {
-        const bool isKnown =
-          i == j || mNow - mNodes[j].mAddedAt > std::chrono::seconds(1) || mNodes[j].mAddedAt < mNodes[i].mAddedAt;
+        const bool isKnown = i == j || mNow - mNodes[j].mAddedAt > std::chrono::seconds(1) ||
+                             mNodes[j].mAddedAt < mNodes[i].mAddedAt;
         known += isKnown ? 1 : 0;
-        const bool seemsUp =
-          isKnown && (mNodes[j].mUp || mNow - mNodes[j].mDownSince < kDetection) &&
-          (i == j || !isSeparated(i, j, aSeconds));
+        const bool seemsUp = isKnown &&
+                             (mNodes[j].mUp || mNow - mNodes[j].mDownSince < kDetection) &&
+                             (i == j || !isSeparated(i, j, aSeconds));
         if (seemsUp && (!best || rank(j) > rank(*best))) {
           best = j;
         }
@@ -232,7 +232,8 @@
       return;
     }
     Bucket& bucket = mBuckets[aCaller.mCustomer];
-    const double accrued = bucket.mStarted ? limit->mRate * toSeconds(mNow - bucket.mAt) : limit->mBurst;
+    const double accrued =
+      bucket.mStarted ? limit->mRate * toSeconds(mNow - bucket.mAt) : limit->mBurst;
     bucket.mTokens = std::min(bucket.mTokens + accrued, limit->mBurst);
     bucket.mStarted = true;
     bucket.mAt = mNow;
@@ -287,9 +288,7 @@
           const std::optional<QuotaGrant> grant =
             coordinator.mCoordinator->onReport(report, known, mNow);
           if (grant) {
-            send(to, aNode, [this, aNode, grant] {
-              mNodes[aNode].mHolder->onGrant(*grant, mNow);
-            });
+            send(to, aNode, [this, aNode, grant] { mNodes[aNode].mHolder->onGrant(*grant, mNow); });
           }
         });
       }
--- a/bulrushrun/quotas/tests/QuotaFleetTest.cpp
+++ b/bulrushrun/quotas/tests/QuotaFleetTest.cpp
@@ -43,7 +43,8 @@
                 QuotaFleet::allowed(aRate, aBurst),
                 aFleet.result(aName).mExecuted.size(),
                 aFleet.refusedWithinLimit(aName),
-                static_cast<double>(aFleet.messages()) / toSeconds(aFleet.now().time_since_epoch()));
+                static_cast<double>(aFleet.messages()) /
+                  toSeconds(aFleet.now().time_since_epoch()));
   }
 }
 
@@ -82,11 +83,10 @@
 TEST(QuotaFleet, LimitsACustomerThatSendsManyTimesItsRate)
 {
   QuotaFleet fleet(68, { customer("a", 400, 400), customer("b", 20, 20) }, 4);
-  fleet.mCallers.push_back({ CustomerName{ "a" },
-                             [](double aSeconds) {
-                               return aSeconds > 10 && aSeconds < 17 ? 250 * 7.5 : 250;
-                             },
-                             anywhere(68) });
+  fleet.mCallers.push_back(
+    { CustomerName{ "a" },
+      [](double aSeconds) { return aSeconds > 10 && aSeconds < 17 ? 250 * 7.5 : 250; },
+      anywhere(68) });
   fleet.mCallers.push_back({ CustomerName{ "b" }, constant(12), anywhere(68) });
   fleet.run(30);
   expectBound(fleet, "a", 400, 400);
@@ -114,8 +114,8 @@
     const std::string& name = each.mName.text();
     expectBound(fleet, name, each.mQuota.mRatePerSecond, each.mQuota.mBurst);
     within += static_cast<double>(fleet.result(name).mWithinLimit);
-    executed += static_cast<double>(
-      std::min<std::uint64_t>(fleet.result(name).mExecuted.size(), fleet.result(name).mWithinLimit));
+    executed += static_cast<double>(std::min<std::uint64_t>(fleet.result(name).mExecuted.size(),
+                                                            fleet.result(name).mWithinLimit));
     RecordProperty("refused_" + name, std::to_string(fleet.refusedWithinLimit(name)));
   }
   EXPECT_GT(executed, within * 0.98);
@@ -132,8 +132,8 @@
       QuotaFleet fleet = fleetOf(40, GetParam(), constant(400));
       fleet.mReaches = [=](std::size_t aFrom, std::size_t aTo, double aSeconds) {
         const double phase = std::fmod(aSeconds, 14);
-        const bool crosses = oneWay ? aFrom < border && aTo >= border
-                                    : (aFrom < border) != (aTo < border);
+        const bool crosses =
+          oneWay ? aFrom < border && aTo >= border : (aFrom < border) != (aTo < border);
         return phase < 4 || phase > 11 || !crosses;
       };
       fleet.run(45);
@@ -145,8 +145,8 @@
 // Guards against a burst after a quiet time in which several coordinators filled their pools.
 TEST_P(QuotaFleetSeed, HoldsTheLimitWhenQuietPartitionsHeal)
 {
-  QuotaFleet fleet =
-    fleetOf(40, GetParam(), [](double aSeconds) { return std::fmod(aSeconds, 7) < 3 ? 0.0 : 1500.0; });
+  QuotaFleet fleet = fleetOf(
+    40, GetParam(), [](double aSeconds) { return std::fmod(aSeconds, 7) < 3 ? 0.0 : 1500.0; });
   fleet.mReaches = [](std::size_t aFrom, std::size_t aTo, double aSeconds) {
     return std::fmod(aSeconds, 10) < 5 || aFrom % 2 == aTo % 2;
   };
@@ -157,8 +157,8 @@
 // Guards against instances that do not agree on the coordinator, each with a full pool.
 TEST_P(QuotaFleetSeed, HoldsTheLimitWithSeveralCoordinators)
 {
-  QuotaFleet fleet =
-    fleetOf(30, GetParam(), [](double aSeconds) { return std::fmod(aSeconds, 6) < 2 ? 0.0 : 900.0; });
+  QuotaFleet fleet = fleetOf(
+    30, GetParam(), [](double aSeconds) { return std::fmod(aSeconds, 6) < 2 ? 0.0 : 900.0; });
   fleet.mForcedCoordinator = [](std::size_t aNode, double aSeconds) {
     return (aNode + static_cast<std::size_t>(aSeconds / 3)) % 3;
   };
--- a/bulrushrun/steering/ProxiedRequest.h
+++ b/bulrushrun/steering/ProxiedRequest.h
@@ -49,6 +49,8 @@
   ServiceName mService;
   /// Customer that sent the request, in mPlan; nullptr without a known key.
   const Customer* mCustomer = nullptr;
+  /// When the token of the customer's quota was taken that no execution has used so far.
+  std::optional<TimePoint> mTokenTakenAt;
   TimePoint mArrived;
   /// The earlier of the caller's deadline and the route's timeout.
   TimePoint mDeadline;
--- a/bulrushrun/steering/RequestProxy.h
+++ b/bulrushrun/steering/RequestProxy.h
@@ -2,6 +2,7 @@
 
 #include "bulrushrun/limits/RetryBudgetShare.h"
 #include "bulrushrun/metrics/ServiceMetrics.h"
+#include "bulrushrun/quotas.h"
 #include "bulrushrun/steering/LoadReportMessage.h"
 #include "bulrushrun/steering/ProxiedRequest.h"
 #include "bulrushrun/steering/RunTimeEstimate.h"
@@ -117,6 +118,15 @@
   }
   /// \brief Takes the rate of a target that another instance learned.
   void onPeerRate(const TargetRate& aRate);
+  /// \brief Sets the gate that admits requests of customers within their quotas.
+  void setQuotaGate(QuotaGate<HostType>& aGate)
+  {
+    mQuotaGate = &aGate;
+    aGate.setOnDecision(
+      [this](RequestId aId, const QuotaAnswer& aAnswer) { onQuotaDecision(aId, aAnswer); });
+  }
+  /// \brief Refuses the requests that wait for tokens of their customer's quota.
+  void refuseWaiting();
   PlacementTable& placements() { return mPicker.placements(); }
 
 private:
@@ -162,13 +172,20 @@
   void onCallerDisconnected(RequestId aId);
   bool endIfCallerLeft(Request& aRequest);
 
+  // Quotas.
+  void admitWithinQuota(Request& aRequest);
+  void onQuotaDecision(RequestId aId, const QuotaAnswer& aAnswer);
+  void refuseOverQuota(Request& aRequest, Duration aRetryAfter);
+  bool hasTokenForRepeat(Request& aRequest);
+  void releaseToken(Request& aRequest);
+
   // Actions of the state machine.
   void apply(RequestId aId, RequestEvent aEvent);
   void perform(Request& aRequest, RequestAction aAction);
   void dispatch(Request& aRequest);
   void announcePlacement(const Request& aRequest, const Placement& aPlacement);
   void retry(Request& aRequest);
-  bool mayRetry(const Request& aRequest);
+  bool mayRetry(Request& aRequest);
   void respondNotRun(Request& aRequest);
   void respondFailed(Request& aRequest);
   void sendLocalResponse(Request& aRequest,
@@ -214,6 +231,7 @@
 
   HostType& mHost;
   SteeringState& mSteeringState;
+  QuotaGate<HostType>* mQuotaGate = nullptr;
   TargetPicker mPicker;
   std::unordered_map<std::uint64_t, std::unique_ptr<Request>> mRequests;
   std::map<ServiceName, RetryBudgetShare> mRetryBudgets;
@@ -236,6 +254,8 @@
 
 // Definitions of the member functions: admission.
 #include "bulrushrun/steering/RequestProxyAdmission.h"
+// Admission within quotas.
+#include "bulrushrun/steering/RequestProxyQuota.h"
 // Actions of the state machine.
 #include "bulrushrun/steering/RequestProxyActions.h"
 // Attempts at targets.
--- a/bulrushrun/steering/RequestProxyActions.h
+++ b/bulrushrun/steering/RequestProxyActions.h
@@ -143,7 +143,7 @@
 }
 
 template<class HostType, class Codec>
-bool RequestProxy<HostType, Codec>::mayRetry(const Request& aRequest)
+bool RequestProxy<HostType, Codec>::mayRetry(Request& aRequest)
 {
   const TimePoint now = mHost.now();
   const double latency = static_cast<double>(smoothedLatency(aRequest.mService).count());
@@ -156,7 +156,7 @@
   if (aRequest.mAttempts == 0) {
     return true;
   }
-  return aRequest.mAttempts < aRequest.mRoute->mMaxAttempts &&
+  return aRequest.mAttempts < aRequest.mRoute->mMaxAttempts && hasTokenForRepeat(aRequest) &&
          mRetryBudgets[aRequest.mService].trySpend(
            mSteeringState.mRetryBudgetPolicy, mSteeringState.mInstanceCount, now);
 }
@@ -267,6 +267,7 @@
 void RequestProxy<HostType, Codec>::finish(Request& aRequest, const char* aOutcome, int aStatus)
 {
   mHost.cancelTimer(aRequest.mDeadlineTimer);
+  releaseToken(aRequest);
   aRequest.mResponder->mOnDisconnect = nullptr;
   aRequest.mResponder->mOnWritable = nullptr;
   mMetrics.onRequest(
--- a/bulrushrun/steering/RequestProxyAdmission.h
+++ b/bulrushrun/steering/RequestProxyAdmission.h
@@ -127,8 +127,7 @@
   const RequestId id = request.mId;
   request.mDeadlineTimer =
     mHost.after(request.mDeadline - now, [this, id] { endUnanswered(id, "the deadline passed"); });
-  mRetryBudgets[request.mService].onFirstAttempt(now);
-  apply(id, RequestEvent::Admitted);
+  admitWithinQuota(request);
 }
 
 template<class HostType, class Codec>
@@ -164,6 +163,7 @@
 {
   const bool isGone = aRequest.mResponder->isDisconnected();
   if (isGone) {
+    releaseToken(aRequest);
     onCallerDisconnected(aRequest.mId);
   }
   return isGone;
--- a/bulrushrun/steering/RequestProxyExchange.h
+++ b/bulrushrun/steering/RequestProxyExchange.h
@@ -55,6 +55,7 @@
     return;
   }
   // The abandoned attempt counts, too.
+  request->mTokenTakenAt.reset();
   ++request->mAttempts;
   if (!mayRetry(*request)) {
     --request->mAttempts;
@@ -169,6 +170,9 @@
   }
   const bool notConnected = aExchangeResult == ExchangeResult::NotSent;
   ++(notConnected ? request->mConnectFailures : request->mAttempts);
+  if (!notConnected) {
+    request->mTokenTakenAt.reset();
+  }
   recordAttemptResult(*request, notConnected ? AttemptResult::Unreachable : AttemptResult::Broken);
   request->mReason = aReason;
   logFailedAttempt(*request, elapsed);
@@ -223,6 +227,7 @@
     apply(id, RequestEvent::TargetDeclined);
     return;
   }
+  aRequest.mTokenTakenAt.reset();
   const bool failed = status >= 500;
   recordAttemptResult(aRequest, failed ? AttemptResult::FailedAnswer : AttemptResult::Answered);
   if (!failed) {
@@ -264,6 +269,7 @@
       (state != RequestState::Sending && state != RequestState::StreamingResponse)) {
     return;
   }
+  aRequest.mTokenTakenAt.reset();
   mHost.abortExchange(aRequest.mAttempt->mExchange);
   if (isTargetUnresponsive(aRequest)) {
     recordAttemptResult(aRequest, AttemptResult::Broken);
--- a/bulrushrun/steering/SteeringInstance.h
+++ b/bulrushrun/steering/SteeringInstance.h
@@ -109,6 +109,9 @@
   /// Time after which the other instances know one that was never registered before. Until then
   /// they leave it no quota of the rate limit on cold targets.
   static constexpr Duration kNewInstanceDelay = std::chrono::seconds(2);
+  /// Time for which a new instance accrues no tokens of quotas while it does not see all registered
+  /// instances: those may be cut off, and would not leave it a part.
+  static constexpr Duration kMaxAccrualDelay = std::chrono::seconds(60);
   /// Time after which gossip knows enough members to assign the store readers.
   static constexpr Duration kRoleSettleTime = std::chrono::seconds(1);
   /// Time after which gossip knows all running instances.
@@ -173,6 +176,7 @@
   void joinGossipWhenReady();
   void updateMembership();
   TargetQuota coldTargetQuota(const std::vector<Member>& aMembers) const;
+  TimePoint quotaAccruesFrom(const std::vector<Member>& aMembers);
   TargetQuota fleetQuota(const std::vector<Member>& aMembers) const;
   TargetQuota quotaAmong(const std::set<std::string>& aInstances) const;
   std::vector<Endpoint> selectInstances(const LookupQuery& aQuery) const;
@@ -181,11 +185,12 @@
   Duration acceptingPeriod() const;
   void beginDrain();
   void sweep();
-  std::string metricsText() const;
+  std::string metricsText();
 
   HostType& mHost;
   SteeringSettings mSettings;
   SteeringState mSteeringState;
+  QuotaGate<HostType> mQuotaGate;
   RequestProxy<HostType, Adapter> mProxy;
   StartupQueue<HostType> mStartupRequests;
   StartupQueue<HostType> mStartupLookups;
@@ -215,6 +220,8 @@
   /// The row of the previous incarnation equals the one that this incarnation would write.
   bool mRegistrationCurrent = false;
   TimePoint mRegisteredAt;
+  /// When this instance began to accrue tokens of quotas.
+  std::optional<TimePoint> mQuotaAccruesFrom;
   std::uint64_t mRegistrationCalls = 0;
   std::set<std::string> mReportedInvalidEntries;
   LeavingNoticeQueue mLeavingNotices;
--- a/bulrushrun/steering/SteeringInstanceMembership.h
+++ b/bulrushrun/steering/SteeringInstanceMembership.h
@@ -16,7 +16,7 @@
            [this] { return mLeavingNotices.next(mHost.now()); },
            [this](std::string_view aPayload) {
              return mPlacementAnnouncer.receive(aPayload) || mLoadReports.receive(aPayload) ||
-                    mTargetRates.receive(aPayload);
+                    mTargetRates.receive(aPayload) || mQuotaGate.receive(aPayload);
            } };
 }
 
@@ -73,7 +73,11 @@
   joinGossipWhenReady();
   updateMembership();
   mHost.after(ColdTargetRateLimiter::kWindow, [this] { updateMembership(); });
-  mHost.after(kNewInstanceDelay, [this] { updateMembership(); });
+  for (const Duration delay : { Duration{ kNewInstanceDelay },
+                                Duration{ kGossipSettleTime },
+                                Duration{ kMaxAccrualDelay } }) {
+    mHost.after(delay, [this] { updateMembership(); });
+  }
 }
 
 template<class HostType, class Adapter>
@@ -210,6 +214,8 @@
   mSteeringState.mInstanceCount = std::max<std::size_t>(members.size(), 1);
   mSteeringState.mContext.mColdTargetQuota = coldTargetQuota(members);
   mSteeringState.mContext.mFleetQuota = fleetQuota(members);
+  mQuotaGate.setMembers(
+    *mGossip, mSteeringState.mContext.mFleetQuota.instances(), quotaAccruesFrom(members));
   ReplicationRoles roles = assignReplicationRoles(members, mSettings.mRegions, mSettings.mZone);
   if (!sameAssignment(roles, mReplicationRoles)) {
     mPeerReplication.resetPeer();
@@ -238,6 +244,26 @@
   return quotaAmong(instancesInZone);
 }
 
+/// \returns when this instance begins to accrue tokens of quotas. The other instances leave a new
+/// one its part as soon as they know it, and those that are cut off do not know it.
+template<class HostType, class Adapter>
+TimePoint SteeringInstance<HostType, Adapter>::quotaAccruesFrom(const std::vector<Member>& aMembers)
+{
+  const Duration registeredFor = mHost.now() - mRegisteredAt;
+  std::size_t seen = 0;
+  for (const Member& member : aMembers) {
+    const bool isRegistered = mRegisteredInstances.contains(member.mId.text());
+    seen += isRegistered && member.mState != MemberState::Dead ? 1 : 0;
+  }
+  const bool seesAll = seen == mRegisteredInstances.size();
+  const bool isKnown = mWasRegistered || registeredFor >= kMaxAccrualDelay ||
+                       (seesAll && registeredFor >= kNewInstanceDelay);
+  if (isKnown && !mQuotaAccruesFrom) {
+    mQuotaAccruesFrom = mHost.now();
+  }
+  return mQuotaAccruesFrom.value_or(TimePoint::max());
+}
+
 /// Instances considered dead count, too: they may only be partitioned, and still send.
 template<class HostType, class Adapter>
 TargetQuota SteeringInstance<HostType, Adapter>::fleetQuota(
--- a/bulrushrun/steering/SteeringInstanceRows.h
+++ b/bulrushrun/steering/SteeringInstanceRows.h
@@ -64,6 +64,8 @@
               " routes=" + std::to_string(plan->mRoutes.size()) +
               " home_routes=" + std::to_string(plan->homeRouteCount()));
   mSteeringState.mPlan = std::make_shared<const RoutePlan>(std::move(*plan));
+  const std::optional<CustomerDirectory>& customers = mSteeringState.mPlan->mCustomers;
+  mQuotaGate.setCustomers(customers ? &*customers : nullptr);
   if (mOnLimits) {
     mOnLimits(mSteeringState.mPlan->mLimits);
   }
--- a/bulrushrun/steering/SteeringInstanceService.h
+++ b/bulrushrun/steering/SteeringInstanceService.h
@@ -39,6 +39,7 @@
   }
   mHost.after(acceptingPeriod(), [this] {
     mSteeringState.mRejectingRequests = true;
+    mProxy.refuseWaiting();
     if (mOnAcceptingEnded) {
       mOnAcceptingEnded();
     }
@@ -153,7 +154,7 @@
 }
 
 template<class HostType, class Adapter>
-std::string SteeringInstance<HostType, Adapter>::metricsText() const
+std::string SteeringInstance<HostType, Adapter>::metricsText()
 {
   std::string text;
   const auto counter = [&text](const char* aName, const char* aHelp, std::uint64_t aValue) {
@@ -194,6 +195,7 @@
           mPlacementArchive.storeCalls());
   mProxy.metrics().render(text);
   mProxy.regionShares().render(text);
+  mQuotaGate.render(text);
   return text;
 }
 
--- a/bulrushrun/steering/SteeringInstanceTables.h
+++ b/bulrushrun/steering/SteeringInstanceTables.h
@@ -27,6 +27,7 @@
                                                       std::function<void(std::size_t)> aOnExit)
   : mHost(aHost)
   , mSettings(aSettings)
+  , mQuotaGate(aHost, mSettings.mInstance, mSettings.mPeer)
   , mProxy(aHost, mSteeringState)
   , mStartupRequests(aHost,
                      [this](HttpRequest aRequest, ResponderPtr aResponder, TimePoint aArrived) {
@@ -74,6 +75,7 @@
   mSteeringState.mContext.mTargets = &mSteeringState.mTargets;
   mSteeringState.mContext.mInstanceHash = hashText(mSettings.mInstance.text());
   setBounds(mSettings.mBounds);
+  mProxy.setQuotaGate(mQuotaGate);
   mProxy.setOnTargetUpdate([this](const TargetAttempt& aAttempt) { onTargetUpdate(aAttempt); });
   mProxy.setOnLoadReport([this](const TargetId& aTarget, const LoadReport& aReport) {
     mLoadReports.onReport(aTarget, aReport);
@@ -93,6 +95,7 @@
   mSteeringState.mColdFactor = aBounds.mColdFactor;
   mSteeringState.mColdSlack = aBounds.mColdSlack;
   mSteeringState.mContext.mMaxShift = aBounds.mMaxShift;
+  mQuotaGate.setBounds(aBounds.mQuota);
 }
 
 template<class HostType, class Adapter>
--- a/bulrushrun/steering/SteeringSettings.cpp
+++ b/bulrushrun/steering/SteeringSettings.cpp
@@ -26,7 +26,10 @@
                    "retry_slack",
                    "cold_factor",
                    "cold_slack",
-                   "max_shift" });
+                   "max_shift",
+                   "quota_window_s",
+                   "quota_overage",
+                   "quota_slack" });
   FleetBounds bounds;
   bounds.mDrain = aMap.millis("drain_ms", bounds.mDrain);
   bounds.mConfigurationApply = aMap.millis("configuration_apply_ms", bounds.mConfigurationApply);
@@ -38,10 +41,20 @@
   bounds.mRetrySlack = aMap.number("retry_slack", bounds.mRetrySlack, 0, kMaxCount);
   bounds.mColdFactor = aMap.number("cold_factor", bounds.mColdFactor, 0, kMaxCount);
   bounds.mColdSlack = aMap.number("cold_slack", bounds.mColdSlack, 0, kMaxCount);
-  // An empty value stands for a bound that the platform does not set.
+  // Empty values stand for bounds that the platform does not set.
   if (!aMap.isNull("max_shift")) {
     bounds.mMaxShift = aMap.number("max_shift", bounds.mMaxShift, kMinShift, 1);
   }
+  if (!aMap.isNull("quota_window_s")) {
+    bounds.mQuota.mWindow = fromSeconds(
+      aMap.number("quota_window_s", toSeconds(bounds.mQuota.mWindow), kMinSeconds, kMaxSeconds));
+  }
+  if (!aMap.isNull("quota_overage")) {
+    bounds.mQuota.mOverage = aMap.number("quota_overage", bounds.mQuota.mOverage, 0, kMaxRatio);
+  }
+  if (!aMap.isNull("quota_slack")) {
+    bounds.mQuota.mSlack = aMap.number("quota_slack", bounds.mQuota.mSlack, 0, kMaxCount);
+  }
   return bounds;
 }
 
--- a/bulrushrun/steering/SteeringSettings.h
+++ b/bulrushrun/steering/SteeringSettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bulrushrun/core.h"
+#include "bulrushrun/quotas/QuotaLimits.h"
 
 #include <map>
 #include <optional>
@@ -26,6 +27,8 @@
   /// Share of the requests of a region's callers that may change the region in which they run from
   /// one window of 2 s to the next; above 0, at most 1.
   double mMaxShift = kDefaultMaxShift;
+  /// Overshoot of customers' quotas.
+  QuotaBounds mQuota;
 };
 
 /// \brief Settings of a SteeringInstance, which runs on a platform with a row store.
