--- a/bulrushrun/steering/RequestProxy.h
+++ b/bulrushrun/steering/RequestProxy.h
@@ -2,6 +2,7 @@
 
 #include "bulrushrun/limits/RetryBudgetShare.h"
 #include "bulrushrun/metrics/ServiceMetrics.h"
+#include "bulrushrun/quotas.h"
 #include "bulrushrun/steering/LoadReportMessage.h"
 #include "bulrushrun/steering/ProxiedRequest.h"
 #include "bulrushrun/steering/RunTimeEstimate.h"
@@ -117,6 +118,15 @@
   }
   /// \brief Takes the rate of a target that another instance learned.
   void onPeerRate(const TargetRate& aRate);
+  /// \brief Sets the gate that admits requests of customers within their quotas.
+  void setQuotaGate(QuotaGate<HostType>& aGate)
+  {
+    mQuotaGate = &aGate;
+    aGate.setOnDecision(
+      [this](RequestId aId, const QuotaAnswer& aAnswer) { onQuotaDecision(aId, aAnswer); });
+  }
+  /// \brief Refuses the requests that wait for tokens of their customer's quota.
+  void refuseWaiting();
   PlacementTable& placements() { return mPicker.placements(); }
 
 private:
@@ -181,6 +191,12 @@
   bool refreshIdentity(Request& aRequest);
   void respondKeyRefused(Request& aRequest);
   static std::string identityText(const Request& aRequest);
+  // Quotas.
+  void admitWithinQuota(Request& aRequest);
+  void onQuotaDecision(RequestId aId, const QuotaAnswer& aAnswer);
+  void refuseOverQuota(Request& aRequest, Duration aRetryAfter);
+  bool hasTokenForRepeat(Request& aRequest);
+  void releaseToken(Request& aRequest);
 
   // Actions of the state machine.
   void apply(RequestId aId, RequestEvent aEvent);
@@ -232,6 +248,7 @@
 
   HostType& mHost;
   SteeringState& mSteeringState;
+  QuotaGate<HostType>* mQuotaGate = nullptr;
   TargetPicker mPicker;
   std::unordered_map<std::uint64_t, std::unique_ptr<Request>> mRequests;
   std::map<ServiceName, RetryBudgetShare> mRetryBudgets;
@@ -257,6 +274,8 @@
 #include "bulrushrun/steering/RequestProxyAdmission.h"
 // Customers.
 #include "bulrushrun/steering/RequestProxyIdentity.h"
+// Admission within quotas.
+#include "bulrushrun/steering/RequestProxyQuota.h"
 // Actions of the state machine.
 #include "bulrushrun/steering/RequestProxyActions.h"
 // Attempts at targets.
--- a/bulrushrun/steering/RequestProxyActions.h
+++ b/bulrushrun/steering/RequestProxyActions.h
@@ -151,7 +151,7 @@
   if (aRequest.mAttempts == 0) {
     return true;
   }
-  return aRequest.mAttempts < aRequest.mRoute->mMaxAttempts &&
+  return aRequest.mAttempts < aRequest.mRoute->mMaxAttempts && hasTokenForRepeat(aRequest) &&
          mRetryBudgets[aRequest.mService].trySpend(
            mSteeringState.mRetryBudgetPolicy, mSteeringState.mInstanceCount, now);
 }
@@ -251,6 +251,7 @@
 void RequestProxy<HostType, Codec>::finish(Request& aRequest, const char* aOutcome, int aStatus)
 {
   mHost.cancelTimer(aRequest.mDeadlineTimer);
+  releaseToken(aRequest);
   aRequest.mResponder->mOnDisconnect = nullptr;
   aRequest.mResponder->mOnWritable = nullptr;
   mMetrics.onRequest(
--- a/bulrushrun/steering/RequestProxyAdmission.h
+++ b/bulrushrun/steering/RequestProxyAdmission.h
@@ -117,8 +117,6 @@
     refuseKey(*aResponder, *caller.mRefusal, *route, metadata);
     return;
   }
-  // Quotas are checked here: the customer, its effective priority and the route are known, and the
-  // request is not in progress yet.
   mLastId = mLastId.next();
   const RetryPolicy policy =
     route->mIdempotent ? RetryPolicy::Unrestricted : RetryPolicy::AtMostOnceUnclaimed;
@@ -138,8 +136,7 @@
   const RequestId id = request.mId;
   request.mDeadlineTimer =
     mHost.after(request.mDeadline - now, [this, id] { endUnanswered(id, "the deadline passed"); });
-  mRetryBudgets[request.mService].onFirstAttempt(now);
-  apply(id, RequestEvent::Admitted);
+  admitWithinQuota(request);
 }
 
 template<class HostType, class Codec>
@@ -175,6 +172,7 @@
 {
   const bool isGone = aRequest.mResponder->isDisconnected();
   if (isGone) {
+    releaseToken(aRequest);
     onCallerDisconnected(aRequest.mId);
   }
   return isGone;
--- a/bulrushrun/steering/RequestProxyExchange.h
+++ b/bulrushrun/steering/RequestProxyExchange.h
@@ -59,6 +59,7 @@
     return;
   }
   // The abandoned attempt counts, too.
+  request->mTokenTakenAt.reset();
   ++request->mAttempts;
   if (!mayRetry(*request)) {
     --request->mAttempts;
@@ -173,6 +174,9 @@
   }
   const bool notConnected = aExchangeResult == ExchangeResult::NotSent;
   ++(notConnected ? request->mConnectFailures : request->mAttempts);
+  if (!notConnected) {
+    request->mTokenTakenAt.reset();
+  }
   recordAttemptResult(*request, notConnected ? AttemptResult::Unreachable : AttemptResult::Broken);
   request->mReason = aReason;
   logFailedAttempt(*request, elapsed);
@@ -227,6 +231,7 @@
     apply(id, RequestEvent::TargetDeclined);
     return;
   }
+  aRequest.mTokenTakenAt.reset();
   const bool failed = status >= 500;
   recordAttemptResult(aRequest, failed ? AttemptResult::FailedAnswer : AttemptResult::Answered);
   if (!failed) {
@@ -268,6 +273,7 @@
       (state != RequestState::Sending && state != RequestState::StreamingResponse)) {
     return;
   }
+  aRequest.mTokenTakenAt.reset();
   mHost.abortExchange(aRequest.mAttempt->mExchange);
   if (isTargetUnresponsive(aRequest)) {
     recordAttemptResult(aRequest, AttemptResult::Broken);
