The coordinator of quotas is preferably a large instance; requests wait longer for its grant

The coordinator was an instance with a tenth of a core. Change: members report their processor time, the rendezvous weight is its third power, and a request waits up to three round trips, at most 300 ms, unless the coordinator said that there is no token. Result: builds; to be measured next.

--- a/bulrushrun/membership/GossipMessage.cpp
+++ b/bulrushrun/membership/GossipMessage.cpp
@@ -10,8 +10,15 @@
 namespace {
 
 using WireEndpoint = std::tuple<std::uint32_t, std::uint16_t>;
-using WireMember = std::
-  tuple<std::string, std::string, WireEndpoint, WireEndpoint, std::uint64_t, int, std::uint64_t>;
+/// Earlier versions neither send nor read the last field.
+using WireMember = std::tuple<std::string,
+                              std::string,
+                              WireEndpoint,
+                              WireEndpoint,
+                              std::uint64_t,
+                              int,
+                              std::uint64_t,
+                              std::uint32_t>;
 /// Target, time, incarnation and age in milliseconds. Earlier versions send and read the first two.
 using WireNotice = std::tuple<std::string, std::int64_t, std::uint64_t, std::int64_t>;
 using WireMessage = std::tuple<int,
@@ -35,14 +42,14 @@
 
 WireMember toWire(const Member& aMember)
 {
-  return { aMember.mId.text(),      aMember.mZone.text(),         toWire(aMember.mListen),
-           toWire(aMember.mPeer),   aMember.mIncarnation.value(), static_cast<int>(aMember.mState),
-           aMember.mVersion.value() };
+  return { aMember.mId.text(),       aMember.mZone.text(),         toWire(aMember.mListen),
+           toWire(aMember.mPeer),    aMember.mIncarnation.value(), static_cast<int>(aMember.mState),
+           aMember.mVersion.value(), aMember.mProcessorShare };
 }
 
 std::optional<Member> fromWire(const WireMember& aWire)
 {
-  const auto& [id, zone, listen, peer, incarnation, state, version] = aWire;
+  const auto& [id, zone, listen, peer, incarnation, state, version, processorShare] = aWire;
   const bool known =
     state >= static_cast<int>(MemberState::Alive) && state <= static_cast<int>(MemberState::Dead);
   if (!known || id.empty() || zone.empty()) {
@@ -54,7 +61,8 @@
                  fromWire(peer),
                  Incarnation{ incarnation },
                  static_cast<MemberState>(state),
-                 ConfigurationVersion{ version } };
+                 ConfigurationVersion{ version },
+                 processorShare };
 }
 
 std::optional<GossipMessage> fromWire(const WireMessage& aWire)
--- a/bulrushrun/membership/Member.h
+++ b/bulrushrun/membership/Member.h
@@ -2,6 +2,8 @@
 
 #include "bulrushrun/core.h"
 
+#include <cstdint>
+
 namespace bulrushrun {
 
 /// \brief State of an instance as another one knows it. Within one incarnation, a later state in
@@ -30,6 +32,8 @@
   MemberState mState = MemberState::Alive;
   /// Configuration version that the instance last reported.
   ConfigurationVersion mVersion;
+  /// Processor time of the instance, in thousandths of a core; 0 when it does not report it.
+  std::uint32_t mProcessorShare = 0;
 };
 
 inline const char* stateText(MemberState aState)
--- a/bulrushrun/quotas/QuotaExchange.h
+++ b/bulrushrun/quotas/QuotaExchange.h
@@ -61,6 +61,14 @@
   /// Key of the rendezvous order that determines the coordinator.
   static constexpr std::uint64_t kCoordinatorKey = hashText("coordinator of quotas");
 
+  /// Reports of the whole fleet take a large part of a small instance's processor time, and every
+  /// instance waits for the responses, so that a larger instance is preferred more than in
+  /// proportion.
+  static double coordinatorWeight(const Member& aMember)
+  {
+    const double share = std::max(aMember.mProcessorShare, 1U);
+    return share * share * share;
+  }
   void schedule();
   void report();
   void onGrant(const QuotaGrant& aGrant);
@@ -96,11 +104,10 @@
   std::erase_if(live, [](const Member& aMember) {
     return aMember.mState != MemberState::Alive && aMember.mState != MemberState::Suspect;
   });
-  const Member* first = rendezvousWinner(
-    kCoordinatorKey,
-    live,
-    [](const Member&) { return 1.0; },
-    [](const Member& aMember) { return hashText(aMember.mId.text()); });
+  const Member* first =
+    rendezvousWinner(kCoordinatorKey, live, coordinatorWeight, [](const Member& aMember) {
+      return hashText(aMember.mId.text());
+    });
   const bool isChanged =
     first != nullptr && (!mCoordinatorMember || mCoordinatorMember->mId != first->mId);
   mCoordinatorMember = first == nullptr ? std::nullopt : std::optional{ *first };
--- a/bulrushrun/quotas/QuotaGate.h
+++ b/bulrushrun/quotas/QuotaGate.h
@@ -67,11 +67,12 @@
   void render(std::string& aText);
 
 private:
-  static constexpr Duration kMaxHold = std::chrono::milliseconds(150);
+  static constexpr Duration kMaxHold = std::chrono::milliseconds(300);
   static constexpr int kHoldTargetShare = 8;
-  /// Part of the round trip to the coordinator that a request may wait at least. An eighth of a
-  /// short latency target is less than a round trip between regions.
-  static constexpr double kHoldRoundTrips = 1.5;
+  /// Round trips to the coordinator that a request may wait at least. An eighth of a short latency
+  /// target is less than a round trip between regions, and the response to a request that is
+  /// refused although there are tokens comes later than one that waits for them.
+  static constexpr double kHoldRoundTrips = 3;
   static constexpr Duration kCheckPeriod = std::chrono::milliseconds(10);
   static constexpr Duration kMinRetryAfter = std::chrono::milliseconds(100);
   static constexpr Duration kMaxRetryAfter = std::chrono::seconds(5);
--- a/bulrushrun/steering/SteeringInstanceMembership.h
+++ b/bulrushrun/steering/SteeringInstanceMembership.h
@@ -53,13 +53,15 @@
 template<class HostType, class Adapter>
 void SteeringInstance<HostType, Adapter>::onRegistered(RecordVersion aVersion)
 {
+  constexpr double kThousandths = 1000;
   Member self{ mSettings.mInstance,
                mSettings.mZone,
                mSettings.mListen,
                mSettings.mPeer,
                Incarnation{ aVersion.value() },
                MemberState::Alive,
-               ConfigurationVersion{} };
+               ConfigurationVersion{},
+               static_cast<std::uint32_t>(mSettings.mProcessorShare * kThousandths) };
   std::vector<Endpoint> seeds = mSettings.mSeeds;
   for (Endpoint& seed : seeds) {
     seed.mPort = mSettings.mPeer.mPort;
--- a/bulrushrun/steering/SteeringSettings.cpp
+++ b/bulrushrun/steering/SteeringSettings.cpp
@@ -15,6 +15,7 @@
 constexpr double kMinShift = 0.001;
 constexpr double kMaxSeconds = 3600;
 constexpr int kMaxMegabytes = 1 << 20;
+constexpr double kMaxProcessorShare = 1024;
 
 FleetBounds readBounds(const YamlMap& aMap)
 {
@@ -97,6 +98,7 @@
                    "peer_keys",
                    "bounds",
                    "memory_mb",
+                   "processor_share",
                    "log_level" });
   SteeringSettings settings;
   settings.mInstance = InstanceId{ map->text("instance") };
@@ -119,6 +121,7 @@
   }
   settings.mMemoryMegabytes =
     static_cast<std::size_t>(map->integer("memory_mb", 256, 16, kMaxMegabytes));
+  settings.mProcessorShare = map->number("processor_share", 0, 0, kMaxProcessorShare);
   settings.mLogLevel =
     map->oneOf("log_level", settings.mLogLevel, { "debug", "info", "warn", "error" });
   if (!aFindings.empty()) {
--- a/bulrushrun/steering/SteeringSettings.h
+++ b/bulrushrun/steering/SteeringSettings.h
@@ -53,6 +53,8 @@
   std::vector<std::string> mPeerKeys;
   FleetBounds mBounds;
   std::size_t mMemoryMegabytes = 256;
+  /// Processor time of this instance in cores; 0 when unknown.
+  double mProcessorShare = 0;
   std::string mLogLevel = "info";
 };
 
