--- a/bulrushrun/customers.h
+++ b/bulrushrun/customers.h
@@ -10,3 +10,5 @@
 // Keys of requests.
 #include "bulrushrun/customers/CallerIdentification.h"
 #include "bulrushrun/customers/PresentedKey.h"
+// Metrics.
+#include "bulrushrun/customers/CustomerMetrics.h"
--- a/bulrushrun/steering/RequestProxy.h
+++ b/bulrushrun/steering/RequestProxy.h
@@ -86,6 +86,7 @@
   std::size_t requestsInProgress() const { return mRequests.size(); }
   const RequestProxyCounters& counters() const { return mCounters; }
   const ServiceMetrics& metrics() const { return mMetrics; }
+  const CustomerMetrics& customerMetrics() const { return mCustomerMetrics; }
   const RegionShares& regionShares() const { return mRegionShares; }
   /// \brief Sets the callback for responses that show that a target is leaving, was replaced or is
   /// cold.
@@ -149,6 +150,8 @@
   static constexpr double kMaxRestSpread = 0.1;
   /// Interval at which the regions to which requests were sent are logged.
   static constexpr Duration kShareLogPeriod = std::chrono::seconds(1);
+  /// Interval at which the customers that have metrics of their own are chosen.
+  static constexpr Duration kRankingPeriod = std::chrono::seconds(5);
   /// Time that must remain for a retry, as a fraction of the smoothed latency.
   static constexpr double kMinRetryTimeShare = 0.5;
 
@@ -180,6 +183,7 @@
   const Route& routeInForce(const Request& aRequest) const;
   bool refreshIdentity(Request& aRequest);
   void respondKeyRefused(Request& aRequest);
+  void updateCustomerMetrics();
   static std::string identityText(const Request& aRequest);
 
   // Actions of the state machine.
@@ -244,8 +248,11 @@
   std::function<void(const TargetId&, const LoadReport&)> mOnLoadReport;
   std::function<void(const TargetRate&)> mOnTargetRate;
   RequestProxyCounters mCounters;
-  std::map<KeyRefusal, std::uint64_t> mKeyRefusals;
   ServiceMetrics mMetrics;
+  CustomerMetrics mCustomerMetrics;
+  /// Version whose customers the metrics have.
+  ConfigurationVersion mMetricsVersion;
+  TimePoint mCustomersRankedAt;
   RegionShares mRegionShares;
   TimePoint mSharesLoggedAt;
   RequestId mLastId;
--- a/bulrushrun/steering/RequestProxyActions.h
+++ b/bulrushrun/steering/RequestProxyActions.h
@@ -209,6 +209,9 @@
 {
   constexpr int kUnavailable = 503;
   ++mCounters.mRefused;
+  if (aRequest.mCustomer != nullptr) {
+    mCustomerMetrics.onRefusal(aRequest.mCustomer->mName);
+  }
   if (aRequest.mKeyRefusal && aRequest.mAttempts == 0) {
     respondKeyRefused(aRequest);
     return;
--- a/bulrushrun/steering/RequestProxyAdmission.h
+++ b/bulrushrun/steering/RequestProxyAdmission.h
@@ -117,6 +117,9 @@
     refuseKey(*aResponder, *caller.mRefusal, *route, metadata);
     return;
   }
+  if (caller.mCustomer != nullptr) {
+    mCustomerMetrics.onRequest(caller.mCustomer->mName);
+  }
   // Quotas are checked here: the customer, its effective priority and the route are known, and the
   // request is not in progress yet.
   mLastId = mLastId.next();
@@ -194,6 +197,7 @@
   }
   mPicker.forgetUnknown(mSteeringState.mTargets, mHost.now());
   logRegionShares();
+  updateCustomerMetrics();
 }
 
 /// Logs one line for each service to which requests were sent.
--- a/bulrushrun/steering/RequestProxyIdentity.h
+++ b/bulrushrun/steering/RequestProxyIdentity.h
@@ -24,7 +24,7 @@
                                               const Route& aRoute,
                                               const RequestMetadata& aMetadata)
 {
-  ++mKeyRefusals[aRefusal];
+  mCustomerMetrics.onKeyRefusal(aRefusal);
   refuseBeforeAdmission(aResponder,
                         kUnauthorized,
                         keyRefusalText(aRefusal),
@@ -93,7 +93,7 @@
 template<class HostType, class Codec>
 void RequestProxy<HostType, Codec>::respondKeyRefused(Request& aRequest)
 {
-  ++mKeyRefusals[*aRequest.mKeyRefusal];
+  mCustomerMetrics.onKeyRefusal(*aRequest.mKeyRefusal);
   sendLocalResponse(
     aRequest, kUnauthorized, Codec::keyChallengeHeaders(), "not run: " + aRequest.mReason);
   finish(aRequest, "refused", kUnauthorized);
@@ -117,4 +117,22 @@
   return text;
 }
 
+template<class HostType, class Codec>
+void RequestProxy<HostType, Codec>::updateCustomerMetrics()
+{
+  const std::shared_ptr<const RoutePlan>& plan = mSteeringState.mPlan;
+  if (plan == nullptr || !plan->mCustomers) {
+    return;
+  }
+  if (mMetricsVersion != plan->mVersion) {
+    mMetricsVersion = plan->mVersion;
+    mCustomerMetrics.setCustomers(*plan->mCustomers);
+  }
+  const TimePoint now = mHost.now();
+  if (now - mCustomersRankedAt >= kRankingPeriod) {
+    mCustomersRankedAt = now;
+    mCustomerMetrics.updateRanking();
+  }
+}
+
 } // namespace bulrushrun
--- a/bulrushrun/steering/tests/CustomerKeysTest.cpp
+++ b/bulrushrun/steering/tests/CustomerKeysTest.cpp
@@ -118,6 +118,14 @@
   EXPECT_EQ(immediateStatus({ mAcme.front(), mAcme.front() }), 401);
   EXPECT_TRUE(logContains("the key is repeated"));
   EXPECT_FALSE(logContains("key-a") || logContains("key-x")) << "no key may be logged";
+  const std::shared_ptr<RecordingResponder> metrics = std::make_shared<RecordingResponder>();
+  mSimulation.node("n1").handleMetrics(metrics);
+  for (const char* line : { "bulrushrun_key_refusals_total{reason=\"missing\"} 1\n",
+                            "bulrushrun_key_refusals_total{reason=\"repeated\"} 1\n",
+                            "bulrushrun_customer_requests_total{customer=\"acme\"} 1\n" }) {
+    EXPECT_NE(metrics->mBody.find(line), std::string::npos) << line;
+  }
+  EXPECT_EQ(metrics->mBody.find("key-"), std::string::npos) << "no key may be a label";
 }
 
 /// Guards against a key that leaves the instance, and a customer that the caller chose.
--- a/ctl/Trace.cpp
+++ b/ctl/Trace.cpp
@@ -19,6 +19,7 @@
 /// Staleness of the information about targets that is reported, in milliseconds: twice the usual
 /// interval between updates.
 constexpr double kStaleMillis = 2000;
+constexpr int kUnauthorized = 401;
 
 bool isEvent(const LogLine& aLine, const Event& aEvent)
 {
@@ -120,13 +121,19 @@
 void Trace::explainRefusal(const LogLine& aEnd, std::vector<std::string>& aConclusions) const
 {
   const std::string usable = aEnd.field("usable");
-  if (aEnd.number("sends") > 0) {
+  if (aEnd.number("status") == kUnauthorized) {
+    aConclusions.push_back("The key of the request was removed before a target was reached: " +
+                           aEnd.field("reason") + ".");
+  } else if (aEnd.field("home_regions") == "none") {
+    aConclusions.push_back("The route and customer " + aEnd.field("customer") +
+                           " have no home region in common.");
+  } else if (aEnd.number("sends") > 0) {
     aConclusions.push_back(
       "Every target that received the request reported that it had not executed it.");
   } else if (aEnd.number("usable") == 0) {
     aConclusions.push_back(
       "No target of the service was eligible: none is registered, or all are leaving, "
-      "ejected, in an evacuated zone or outside the route's home regions.");
+      "ejected, in an evacuated zone or outside the home regions of the route or the customer.");
   } else if (aEnd.number("cold_limited") > 0) {
     aConclusions.push_back(
       usable + " targets were eligible, but " + aEnd.field("cold_limited") +
@@ -142,13 +149,33 @@
   }
 }
 
+void Trace::explainEarlyRefusal(const LogLine& aLine, std::vector<std::string>& aConclusions)
+{
+  aConclusions.push_back(aLine.mInstance + " refused the request with status " +
+                         aLine.field("status") +
+                         " before a target was chosen: " + aLine.field("reason") + ".");
+  if (aLine.number("status") == kUnauthorized) {
+    aConclusions.push_back("Version " + aLine.field("version") +
+                           " of the configuration, which was in force at the instance, requires "
+                           "the key of a customer on route " +
+                           aLine.field("route") + ".");
+  }
+}
+
 std::vector<std::string> Trace::conclusions() const
 {
   std::vector<std::string> conclusions;
-  const auto end =
-    std::find_if(mRequestLines.begin(), mRequestLines.end(), [](const LogLine& aLine) {
-      return isEvent(aLine, events::kRequestEnded);
+  const auto lineOf = [this](const Event& aEvent) {
+    return std::find_if(mRequestLines.begin(), mRequestLines.end(), [&](const LogLine& aLine) {
+      return isEvent(aLine, aEvent);
     });
+  };
+  const auto end = lineOf(events::kRequestEnded);
+  const auto refused = lineOf(events::kRequestRefused);
+  if (end == mRequestLines.end() && refused != mRequestLines.end()) {
+    explainEarlyRefusal(*refused, conclusions);
+    return conclusions;
+  }
   if (end == mRequestLines.end()) {
     conclusions.push_back(
       "No log line records the end of the request: it is in progress, its instance "
--- a/ctl/Trace.h
+++ b/ctl/Trace.h
@@ -51,6 +51,7 @@
 
   bool isWithinContextWindow(const LogLine& aLine) const;
   std::vector<Entry> timeline() const;
+  static void explainEarlyRefusal(const LogLine& aLine, std::vector<std::string>& aConclusions);
   void explainRefusal(const LogLine& aEnd, std::vector<std::string>& aConclusions) const;
 
   std::string mId;
--- a/ctl/tests/TraceTest.cpp
+++ b/ctl/tests/TraceTest.cpp
@@ -84,6 +84,26 @@
   EXPECT_FALSE(trace("no-such-id").isFound());
 }
 
+/// Guards against a 401 whose cause the operator can't find.
+TEST(KeyRefusalTraceTest, ExplainsARefusedKey)
+{
+  Trace early{ "id-1" };
+  early.addRequestLine(
+    *parseLogLine("2026-12-06 22:10:00.000 INFO  n1 BR-8002 request-refused id=id-1 route=orders "
+                  "version=7 status=401 reason=\"the key is unknown\""));
+  EXPECT_TRUE(early.text().starts_with(
+    "n1 refused the request with status 401 before a target was chosen: the key is unknown.\n"
+    "Version 7 of the configuration, which was in force at the instance, requires the key of a "
+    "customer on route orders.\n"));
+  Trace late{ "id-2" };
+  late.addRequestLine(
+    *parseLogLine("2026-12-06 22:10:00.000 INFO  n1 BR-8001 request-ended id=id-2 sends=0 "
+                  "outcome=refused status=401 ms=9 reason=\"x; the key is unknown\""));
+  EXPECT_NE(late.text().find("The key of the request was removed before a target was reached: x; "
+                             "the key is unknown."),
+            std::string::npos);
+}
+
 /// Lines as log collectors deliver them, with a prefix of their own.
 TEST(LogLineTest, ParsesQuotedFieldsAfterAPrefix)
 {
--- a/soak/Callers.cpp
+++ b/soak/Callers.cpp
@@ -124,6 +124,13 @@
   aRequest.mAuthority = "shop";
   aRequest.mHeaders.push_back({ "X-Request-Id", id });
   aRequest.mHeaders.push_back({ "X-Request-Timeout-Ms", std::to_string(toMillis(callerTimeout)) });
+  aAttempt.mKey =
+    aAttempt.mProbe ? CallerKey::permanent() : CallerKey::choose(id, mChecker.newestVersion());
+  if (!aAttempt.mKey.mText.empty()) {
+    aRequest.mHeaders.push_back({ "Authorization", "Bearer " + aAttempt.mKey.mText });
+  }
+  // The instance must not believe what a caller says about its customer.
+  aRequest.mHeaders.push_back({ "x-tenant-ID", "c1" });
   const bool disconnectsEarly = !aAttempt.mProbe && mRandom.chance(kDisconnectProbability);
   mChecker.onSent(id, std::move(aAttempt));
   ExchangeListener listener;
--- a/soak/InvariantChecker.cpp
+++ b/soak/InvariantChecker.cpp
@@ -97,6 +97,7 @@
     return;
   }
   checkResponse(aId, attempt);
+  checkKeyResponse(aId, attempt);
   checkPlannedStop(aId, attempt, aNow);
   if (attempt.mTargetLeaving && !isRefusalStatus(attempt.mHead.mStatus) &&
       attempt.mHead.mStatus <= kServerError) {
@@ -224,7 +225,8 @@
   double sent = 0;
   double succeeded = 0;
   for (const auto& [id, attempt] : mAttempts) {
-    if (attempt.mSent >= aStart && !attempt.mProbe && !attempt.mAbandoned) {
+    if (attempt.mSent >= aStart && !attempt.mProbe && !attempt.mAbandoned &&
+        attempt.mKey.isPermanent()) {
       sent += 1;
       succeeded += attempt.mEnd == ExchangeResult::Complete && attempt.mHead.mStatus == 200 ? 1 : 0;
     }
--- a/soak/InvariantChecker.h
+++ b/soak/InvariantChecker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bulrushrun/host.h"
+#include "soak/CallerKey.h"
 #include "soak/StabilityTracker.h"
 #include "soak/TargetWishChecker.h"
 #include "standins/RegisteredTarget.h"
@@ -32,6 +33,7 @@
   bool mLarge = false;
   /// True for a probe of the configuration in force.
   bool mProbe = false;
+  CallerKey mKey;
   TimePoint mSent;
   /// The earlier of the caller's and the route's time limit.
   Duration mTimeLimit{ 0 };
@@ -66,6 +68,8 @@
                    TimePoint aNow);
   /// \brief Records that a request reached a target, and checks that the target does not rest.
   void onArrival(const std::string& aId, const standins::RegisteredTarget& aTarget, TimePoint aNow);
+  /// \brief Checks what a request that reached a target tells it, and that its key permits it.
+  void onHeaders(const HttpRequest& aRequest, const standins::RegisteredTarget& aTarget);
   /// \brief Records that a target turned a request away and asked for rest.
   void onRest(const std::string& aId,
               const standins::RegisteredTarget& aTarget,
@@ -103,6 +107,8 @@
   void checkAtEnd();
 
   Attempt* find(const std::string& aId);
+  /// \brief \returns the newest configuration version that the store acknowledged; 0 for none.
+  std::uint64_t newestVersion() const { return mVersions.empty() ? 0 : mVersions.rbegin()->first; }
   StabilityTracker& instance(std::size_t aInstance) { return mInstances[aInstance]; }
   StabilityTracker& store() { return mStore; }
   StabilityTracker& targets() { return mTargets; }
@@ -110,7 +116,7 @@
   StabilityTracker& link(const std::string& aTarget) { return mLinks[aTarget]; }
   const std::vector<std::string>& findings() const { return mFindings; }
   /// \brief \returns the share of the requests sent since then that succeeded with status 200;
-  /// probes and abandoned requests are not counted.
+  /// probes, abandoned requests and those without a permanent key are not counted.
   double successShareSince(TimePoint aStart) const;
   /// \brief \returns one line with the number of requests by result.
   std::string summary() const;
@@ -128,6 +134,9 @@
     return mInstances[aInstance].isStable(aNow) && mRestarts[aInstance].isStable(aNow) &&
            mStore.isStable(aNow);
   }
+  std::optional<TimePoint> acknowledgedAt(std::uint64_t aVersion) const;
+  bool isInForce(std::uint64_t aVersion, const Attempt& aAttempt) const;
+  void checkKeyResponse(const std::string& aId, const Attempt& aAttempt);
   void checkProbe(const std::string& aId, const Attempt& aAttempt);
   void checkResponse(const std::string& aId, const Attempt& aAttempt);
   void checkPlannedStop(const std::string& aId, const Attempt& aAttempt, TimePoint aNow);
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -112,6 +112,10 @@
     [this](const std::string& aId, const standins::RegisteredTarget& aTarget) {
       mChecker.onArrival(aId, aTarget, EventLoop::now());
     });
+  target.mServer->setOnHeaders(
+    [this](const HttpRequest& aRequest, const standins::RegisteredTarget& aTarget) {
+      mChecker.onHeaders(aRequest, aTarget);
+    });
   target.mServer->setOnRest(
     [this](const std::string& aId, const standins::RegisteredTarget& aTarget, Duration aTime) {
       mChecker.onRest(aId, aTarget, aTime, EventLoop::now());
@@ -141,13 +145,15 @@
            R"(,"maxAttempts":2,"sticky":true,"service":")" + aTargetService + R"("})";
   };
   const std::string version = "r" + std::to_string(mVersion);
-  mStore.put("op",
-             "config",
-             R"({"version":")" + version + R"(","routes":[)" + route("read", "safe", "work") + "," +
-               route("files", "download", "work") + "," + route("order", "non_idempotent", "work") +
-               "," + route("probe", "safe", probes) + "," +
-               route("slow", "non_idempotent", "slow", Callers::kSlowTimeout) +
-               R"(],"services":[{"name":"work","coldStartS":1.0,"coldPerS":20}],"limits":{}})");
+  mStore.put(
+    "op",
+    "config",
+    R"({"version":")" + version + R"(","routes":[)" + route("read", "safe", "work") + "," +
+      route("files", "download", "work") + "," + route("order", "non_idempotent", "work") + "," +
+      route("probe", "safe", probes) + "," +
+      route("slow", "non_idempotent", "slow", Callers::kSlowTimeout) +
+      R"(],"services":[{"name":"work","coldStartS":1.0,"coldPerS":20}],"limits":{},"tenants":)" +
+      CallerKey::customers(mVersion) + "}");
   mChecker.onVersion(mVersion, EventLoop::now());
   if (EventLoop::now() < mEndAt && !mOptions.mCalm) {
     mLoop.after(kConfigurationInterval, [this] { putConfiguration(); });
--- a/standins/RegisteredTarget.cpp
+++ b/standins/RegisteredTarget.cpp
@@ -101,6 +101,9 @@
   if (mOnArrival) {
     mOnArrival(headerText(aRequest, "X-Request-Id"), *this);
   }
+  if (mOnHeaders) {
+    mOnHeaders(aRequest, *this);
+  }
   const std::string intendedTarget = headerText(aRequest, "X-Target-Instance");
   if (!intendedTarget.empty() && intendedTarget != mOptions.mId) {
     decline(kMisdirected, aRequest, aResponder);
--- a/standins/RegisteredTarget.h
+++ b/standins/RegisteredTarget.h
@@ -47,6 +47,8 @@
 public:
   /// Called when a request begins to execute, with the request's id and this target.
   using ExecutionListener = std::function<void(const std::string&, const RegisteredTarget&)>;
+  /// Called when a request arrives, with the request as it arrived.
+  using HeaderListener = std::function<void(const HttpRequest&, const RegisteredTarget&)>;
   /// Called when a request has been turned away, with its id and the time of rest asked for.
   using RestListener = std::function<void(const std::string&, const RegisteredTarget&, Duration)>;
 
@@ -60,6 +62,8 @@
   TargetFaults& faults() { return mFaults; }
   /// \brief Sets the callback for each request that arrives, executed or not.
   void setOnArrival(ExecutionListener aOnArrival) { mOnArrival = std::move(aOnArrival); }
+  /// \brief Sets the callback for the headers of each request that arrives.
+  void setOnHeaders(HeaderListener aOnHeaders) { mOnHeaders = std::move(aOnHeaders); }
   /// \brief Sets the callback for requests that were turned away with a time of rest.
   void setOnRest(RestListener aOnRest) { mOnRest = std::move(aOnRest); }
   /// \brief Sets whether its responses and its registration announce that it is leaving.
@@ -101,6 +105,7 @@
   Random mRandom;
   ExecutionListener mOnExecution;
   ExecutionListener mOnArrival;
+  HeaderListener mOnHeaders;
   RestListener mOnRest;
   TargetFaults mFaults;
   bool mLeaving = false;
