--- a/bulrushrun/steering/RequestProxyAdmission.h
+++ b/bulrushrun/steering/RequestProxyAdmission.h
@@ -117,6 +117,9 @@
     refuseKey(*aResponder, *caller.mRefusal, *route, metadata);
     return;
   }
+  if (caller.mCustomer != nullptr) {
+    mCustomerMetrics.onRequest(caller.mCustomer->mName);
+  }
   mLastId = mLastId.next();
   const RetryPolicy policy =
     route->mIdempotent ? RetryPolicy::Unrestricted : RetryPolicy::AtMostOnceUnclaimed;
@@ -192,6 +195,7 @@
   }
   mPicker.forgetUnknown(mSteeringState.mTargets, mHost.now());
   logRegionShares();
+  updateCustomerMetrics();
 }
 
 /// Logs one line for each service to which requests were sent.
