--- a/bulrushrun/quotas/tests/QuotaFleet.h
+++ b/bulrushrun/quotas/tests/QuotaFleet.h
@@ -242,6 +242,9 @@
       ++result.mWithinLimit;
     }
     Node* node = &mNodes[aCaller.mInstance(aSeconds, mRandom)];
+    if (std::none_of(mNodes.begin(), mNodes.end(), [](const Node& aNode) { return aNode.mUp; })) {
+      return;
+    }
     while (!node->mUp) {
       node = &mNodes[mRandom.below(mNodes.size())];
     }
--- a/bulrushrun/steering/tests/SteeringSettingsTest.cpp
+++ b/bulrushrun/steering/tests/SteeringSettingsTest.cpp
@@ -97,5 +97,27 @@
   }
 }
 
+/// Guards against a deployment without quotas, whose platform renders empty values, that does not
+/// start, and against bounds that are read into the wrong field.
+TEST(SteeringSettingsTest, BoundsOfQuotasMayBeEmpty)
+{
+  const auto read = [](const std::string& aBounds) {
+    Findings findings;
+    std::string text = kValidSettings;
+    text.replace(text.find("drain_ms: 2500"), 0, aBounds);
+    const std::optional<SteeringSettings> settings = readSteeringSettings(text, "s", findings);
+    EXPECT_TRUE(settings) << findings.report();
+    return settings.value_or(SteeringSettings{}).mBounds.mQuota;
+  };
+  const QuotaBounds empty = read("quota_window_s: , quota_overage: , quota_slack: , ");
+  EXPECT_EQ(empty.mWindow, std::chrono::seconds(5));
+  EXPECT_EQ(empty.mOverage, 0.1);
+  EXPECT_EQ(empty.mSlack, 20);
+  const QuotaBounds given = read("quota_window_s: 4, quota_overage: 0.2, quota_slack: 7, ");
+  EXPECT_EQ(given.mWindow, std::chrono::seconds(4));
+  EXPECT_EQ(given.mOverage, 0.2);
+  EXPECT_EQ(given.mSlack, 7);
+}
+
 } // namespace
 } // namespace bulrushrun
