Stand-in store: restore to an older copy

Cause: the store may come back from a copy that is some seconds old; the stand-in could not show that. Change: InMemoryRowStore::restore() undoes the writes since the copy, issues their versions again and raises the epoch, which all responses state from then on; a feed from a version that the store does not have gets 410.

--- a/standins/InMemoryRowStore.cpp
+++ b/standins/InMemoryRowStore.cpp
@@ -54,16 +54,59 @@
                                     const std::string& aKey,
                                     const std::string& aValue)
 {
-  mRows[{ aTable, aKey }] = { aValue, ++mVersion, false };
+  ++mVersion;
+  write({ aTable, aKey }, { aValue, mVersion, false }, mVersion - 1);
   return mVersion;
 }
 
+void InMemoryRowStore::write(const Key& aKey, Row aRow, std::uint64_t aVersionBefore)
+{
+  const auto [row, inserted] = mRows.try_emplace(aKey);
+  mPastWrites.push_back(
+    { mNow, aKey, inserted ? std::nullopt : std::optional{ row->second }, aVersionBefore });
+  while (mPastWrites.front().mAt < mNow - kMaxCopyAge) {
+    mPastWrites.pop_front();
+  }
+  row->second = std::move(aRow);
+}
+
+void InMemoryRowStore::restore(Duration aAge)
+{
+  while (!mPastWrites.empty() && mPastWrites.back().mAt > mNow - aAge) {
+    const PastWrite& last = mPastWrites.back();
+    if (last.mRowBefore) {
+      mRows[last.mKey] = *last.mRowBefore;
+    } else {
+      mRows.erase(last.mKey);
+    }
+    mVersion = last.mVersionBefore;
+    mPastWrites.pop_back();
+  }
+  mCompactedVersion = std::min(mCompactedVersion, mVersion);
+  mEpoch = mEpoch.value_or(0) + 1;
+}
+
 void InMemoryRowStore::remove(const std::string& aTable, const std::string& aKey)
 {
-  mRows[{ aTable, aKey }] = { "", ++mVersion, true };
+  ++mVersion;
+  write({ aTable, aKey }, { "", mVersion, true }, mVersion - 1);
 }
 
 std::optional<HttpResponse> InMemoryRowStore::handle(const HttpRequest& aRequest)
+{
+  std::optional<HttpResponse> response = execute(aRequest);
+  return response ? std::optional{ withEpoch(std::move(*response)) } : std::nullopt;
+}
+
+HttpResponse InMemoryRowStore::withEpoch(HttpResponse aResponse) const
+{
+  if (mEpoch) {
+    aResponse.mHead.mHeaders.push_back({ "Store-Era", std::to_string(*mEpoch) });
+  }
+  return aResponse;
+}
+
+std::optional<HttpResponse> InMemoryRowStore::execute(const HttpRequest& aRequest)
 {
   if (mErrorStatus) {
     return makeJsonResponse(*mErrorStatus, Json::object());
@@ -105,12 +148,12 @@
   }
   ++mVersion;
   for (const Json& row : body.value("put", Json::array())) {
-    mRows[{ row.at("table"), row.at("key") }] = {
-      fromBase64(row.at("value").get<std::string>()).value_or(""), mVersion, false
-    };
+    write({ row.at("table"), row.at("key") },
+          { fromBase64(row.at("value").get<std::string>()).value_or(""), mVersion, false },
+          mVersion - 1);
   }
   for (const Json& row : body.value("remove", Json::array())) {
-    mRows[{ row.at("table"), row.at("key") }] = { "", mVersion, true };
+    write({ row.at("table"), row.at("key") }, { "", mVersion, true }, mVersion - 1);
   }
   return makeJsonResponse(200, { { "ver", mVersion }, { "nowMs", toMillis(mNow) } });
 }
@@ -157,8 +200,8 @@
 {
   const std::string table = queryParameter(aQuery, "table");
   const std::uint64_t after = std::stoull(queryParameter(aQuery, "after"));
-  if (after < mCompactedVersion) {
-    return makeJsonResponse(410, { { "error", "the change history has been compacted" } });
+  if (after < mCompactedVersion || after > mVersion) {
+    return makeJsonResponse(410, { { "error", "the version is compacted or unknown" } });
   }
   std::map<std::uint64_t, std::vector<Json>> changedRows;
   for (const auto& [key, row] : mRows) {
@@ -167,8 +210,7 @@
     }
   }
   if (changedRows.empty()) {
-    return queryParameter(aQuery, "waitMs") == "0" ? std::optional{ emptyFeedResponse() }
-                                                   : std::nullopt;
+    return queryParameter(aQuery, "waitMs") == "0" ? std::optional{ noChanges() } : std::nullopt;
   }
   Json rows = Json::array();
   for (const auto& [version, changes] : changedRows) {
@@ -191,10 +233,15 @@
   return versions;
 }
 
-HttpResponse InMemoryRowStore::emptyFeedResponse() const
+HttpResponse InMemoryRowStore::noChanges() const
 {
   return makeJsonResponse(
     200, { { "rows", Json::array() }, { "ver", mVersion }, { "nowMs", toMillis(mNow) } });
 }
 
+HttpResponse InMemoryRowStore::emptyFeedResponse() const
+{
+  return withEpoch(noChanges());
+}
+
 } // namespace bulrushrun
--- a/standins/InMemoryRowStore.h
+++ b/standins/InMemoryRowStore.h
@@ -5,6 +5,7 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -30,6 +31,12 @@
   void compact() { mCompactedVersion = mVersion; }
   /// \brief Makes all requests fail with this status, until it is cleared.
   void setErrorStatus(std::optional<int> aStatus) { mErrorStatus = aStatus; }
+  /// \brief Replaces all rows by a copy of this age. Later writes are lost, their versions are
+  /// issued again, and the epoch that all responses state rises by one. Writes of the last minute
+  /// can be lost at most.
+  void restore(Duration aAge);
+  /// \brief Sets the epoch that all responses state. A store states none before its first restore.
+  void setEpoch(std::uint64_t aEpoch) { mEpoch = aEpoch; }
   /// \brief \returns the response to a feed request whose wait ended without a change.
   HttpResponse emptyFeedResponse() const;
 
@@ -51,9 +58,25 @@
   };
   using Key = std::pair<std::string, std::string>;
 
+  /// What undoes a write of one row.
+  struct PastWrite
+  {
+    Duration mAt;
+    Key mKey;
+    std::optional<Row> mRowBefore;
+    std::uint64_t mVersionBefore = 0;
+  };
+
+  /// Age of the oldest copy.
+  static constexpr Duration kMaxCopyAge = std::chrono::minutes(1);
+
+  void write(const Key& aKey, Row aRow, std::uint64_t aVersionBefore);
+  std::optional<HttpResponse> execute(const HttpRequest& aRequest);
+  HttpResponse withEpoch(HttpResponse aResponse) const;
   HttpResponse transact(const std::string& aBody);
   HttpResponse readRange(const std::string& aQuery) const;
   std::optional<HttpResponse> readFeed(const std::string& aQuery) const;
+  HttpResponse noChanges() const;
   std::uint64_t currentVersion(const Key& aKey) const;
   nlohmann::json toJson(const Key& aKey, const Row& aRow) const;
 
@@ -63,6 +86,9 @@
   std::optional<std::size_t> mMaxRowsPerRead;
   Duration mNow{ 0 };
   std::optional<int> mErrorStatus;
+  std::optional<std::uint64_t> mEpoch;
+  /// Newest last.
+  std::deque<PastWrite> mPastWrites;
 };
 
 } // namespace bulrushrun
--- a/standins/RowStoreServer.cpp
+++ b/standins/RowStoreServer.cpp
@@ -36,16 +36,25 @@
                          const std::string& aKey,
                          const std::string& aValue)
 {
+  mStore.setNow(EventLoop::now().time_since_epoch());
   mStore.put(aTable, aKey, aValue);
   answerPendingFeeds();
 }
 
 void RowStoreServer::remove(const std::string& aTable, const std::string& aKey)
 {
+  mStore.setNow(EventLoop::now().time_since_epoch());
   mStore.remove(aTable, aKey);
   answerPendingFeeds();
 }
 
+void RowStoreServer::restore(Duration aAge)
+{
+  mStore.setNow(EventLoop::now().time_since_epoch());
+  mStore.restore(aAge);
+  answerPendingFeeds();
+}
+
 void RowStoreServer::handle(const StoreFaults& aFaults,
                             HttpRequest aRequest,
                             const ResponderPtr& aResponder)
--- a/standins/RowStoreServer.h
+++ b/standins/RowStoreServer.h
@@ -42,6 +42,8 @@
   void put(const std::string& aTable, const std::string& aKey, const std::string& aValue);
   /// \brief Removes a row on behalf of another writer.
   void remove(const std::string& aTable, const std::string& aKey);
+  /// \brief Replaces the rows by a copy of this age.
+  void restore(Duration aAge);
   /// \brief Discards the change history.
   void compact() { mStore.compact(); }
 
