Epochs of the store: a store that comes back older is read anew

Cause: after a restore of the store to an older copy, versions go back. Replicas kept rows with higher versions, a 410 led to reads of the table that changed nothing, and restarted instances had lower incarnations than before. Change: versions are ordered within one epoch (StoreEpoch), which RowStoreProtocol reads from the responses. A newer epoch replaces a table as a whole; late responses of an older one are discarded; peers state epochs and exchange rows within one only. Lost operator's rows stay in force, removed rows do not return until they are written anew, own rows are written again, and incarnations are ordered by epoch, then version. Events 3010 to 3013, two metrics. Calls of TableFeedReader moved to a file of their own. FleetSimulation keeps killed instances that are added again, since their timers stay armed. With incarnations without the epoch, RegistrationsAreWrittenAgainAndARestartedInstanceIsAccepted fails. The whole test binary was not run yet.

--- a/bulrushrun/host/EventCatalogue.h
+++ b/bulrushrun/host/EventCatalogue.h
@@ -34,6 +34,10 @@
 inline constexpr Event kReplicaDiverged{ 3007, Severity::Warn, "replica-diverged" };
 inline constexpr Event kTransferInterrupted{ 3008, Severity::Info, "transfer-interrupted" };
 inline constexpr Event kTableRejected{ 3009, Severity::Error, "table-rejected" };
+inline constexpr Event kEpochRaised{ 3010, Severity::Warn, "store-epoch-raised" };
+inline constexpr Event kTableReplaced{ 3011, Severity::Info, "table-replaced" };
+inline constexpr Event kRowNotFollowed{ 3012, Severity::Warn, "row-not-followed" };
+inline constexpr Event kStaleResponseDiscarded{ 3013, Severity::Info, "stale-response-discarded" };
 inline constexpr Event kClaimUnresolved{ 4001, Severity::Warn, "claim-unresolved" };
 inline constexpr Event kOutcomeUnknown{ 4002, Severity::Warn, "outcome-unknown" };
 inline constexpr Event kOutcomeNotStored{ 4003, Severity::Warn, "outcome-not-stored" };
@@ -71,21 +75,22 @@
 inline constexpr Event kReadingResumed{ 8007, Severity::Info, "reading-resumed" };
 
 inline constexpr std::array kAllEvents{
-  kInstanceStarted,      kInstanceReady,        kDrainStarted,         kDrainEnded,
-  kDrainLimitReached,    kConfigurationAdopted, kConfigurationRefused, kConfigurationFetchFailed,
-  kPlatformUnavailable,  kPlatformBack,         kClaimUnresolved,      kOutcomeUnknown,
-  kOutcomeNotStored,     kAnswerCrossed,        kTargetEjected,        kTargetBack,
-  kTargetLeaving,        kMemberJoined,         kMemberSuspected,      kMemberDead,
-  kMemberLeaving,        kMessageDropped,       kMemberLeft,           kAdministrationDenied,
-  kAdministrationChange, kSettingsAdopted,      kSettingsRefused,      kPlanAdopted,
-  kPlanRefused,          kZoneEvacuated,        kZoneRestored,         kFeedLost,
-  kFeedRegained,         kTargetAdded,          kTargetVanished,       kTargetEntryRefused,
-  kTargetReplaced,       kRequestEnded,         kRequestRefused,       kSendFailed,
-  kLookupRefused,        kTargetZoneUnknown,    kObjectPlaced,         kPlacementsUnreadable,
-  kPlacementsLoaded,     kPlacementsNotSaved,   kPlacementsNotLoaded,  kRowsAdopted,
-  kRowsUnreadable,       kReplicaDiverged,      kTargetHeaderIgnored,  kTargetResting,
-  kTransferInterrupted,  kTargetRateLimited,    kRegionShares,         kReadingPaused,
-  kReadingResumed,       kTableRejected
+  kInstanceStarted,      kInstanceReady,         kDrainStarted,         kDrainEnded,
+  kDrainLimitReached,    kConfigurationAdopted,  kConfigurationRefused, kConfigurationFetchFailed,
+  kPlatformUnavailable,  kPlatformBack,          kClaimUnresolved,      kOutcomeUnknown,
+  kOutcomeNotStored,     kAnswerCrossed,         kTargetEjected,        kTargetBack,
+  kTargetLeaving,        kMemberJoined,          kMemberSuspected,      kMemberDead,
+  kMemberLeaving,        kMessageDropped,        kMemberLeft,           kAdministrationDenied,
+  kAdministrationChange, kSettingsAdopted,       kSettingsRefused,      kPlanAdopted,
+  kPlanRefused,          kZoneEvacuated,         kZoneRestored,         kFeedLost,
+  kFeedRegained,         kTargetAdded,           kTargetVanished,       kTargetEntryRefused,
+  kTargetReplaced,       kRequestEnded,          kRequestRefused,       kSendFailed,
+  kLookupRefused,        kTargetZoneUnknown,     kObjectPlaced,         kPlacementsUnreadable,
+  kPlacementsLoaded,     kPlacementsNotSaved,    kPlacementsNotLoaded,  kRowsAdopted,
+  kRowsUnreadable,       kReplicaDiverged,       kTargetHeaderIgnored,  kTargetResting,
+  kTransferInterrupted,  kTargetRateLimited,     kRegionShares,         kReadingPaused,
+  kReadingResumed,       kTableRejected,         kEpochRaised,          kTableReplaced,
+  kRowNotFollowed,       kStaleResponseDiscarded
 };
 
 } // namespace bulrushrun::events
--- a/bulrushrun/placement/PlacementArchive.h
+++ b/bulrushrun/placement/PlacementArchive.h
@@ -66,6 +66,8 @@
     mGossip = &aGossip;
     savePeriodically();
   }
+  /// \brief Saves all placements again: the store came back from an older copy.
+  void saveAgain();
   /// \brief Handles a peer's request for all placements. \returns false when the request is another
   /// one
   bool handlePeerRequest(const HttpRequest& aRequest, typename HostType::ResponderType& aResponder);
@@ -109,6 +111,8 @@
   const Gossip<HostType>* mGossip = nullptr;
   std::array<SavedPart, PlacementTable::kParts> mSaved;
   std::uint64_t mStoreCalls = 0;
+  /// Number of calls of saveAgain(). A write that began before the last one may be lost.
+  std::uint64_t mRound = 0;
 };
 
 template<class HostType, class StoreProtocol>
@@ -198,7 +202,20 @@
             std::string("source=") + aSource + " objects=" + std::to_string(mPlacements.size()));
   mPlacements.setComplete();
   for (std::size_t part = 0; part < mSaved.size(); ++part) {
-    mSaved[part].mChanges = mPlacements.changes(part);
+    // After saveAgain(), a part may have been read before the store lost it.
+    mSaved[part].mChanges = mRound == 0 ? mPlacements.changes(part) : 0;
+  }
+}
+
+template<class HostType, class StoreProtocol>
+void PlacementArchive<HostType, StoreProtocol>::saveAgain()
+{
+  ++mRound;
+  for (std::size_t part = 0; part < mSaved.size(); ++part) {
+    // A part that never had placements stays unsaved.
+    mSaved[part].mChanges = 0;
+    mSaved[part].mInterval = kMinSaveInterval;
+    mSaved[part].mNextAt = std::min(mSaved[part].mNextAt, mHost.now() + kMinSaveInterval);
   }
 }
 
@@ -246,9 +263,11 @@
                                     encodeSavedPlacements(mPlacements.part(aPart))),
     kCallTimeout,
     kMaxResponseBytes,
-    [this, aPart, changes](ExchangeResult aResult, const HttpResponse& aResponse) {
+    [this, aPart, changes, round = mRound](ExchangeResult aResult, const HttpResponse& aResponse) {
       if (aResult == ExchangeResult::Complete && StoreProtocol::parseWriteResponse(aResponse)) {
-        mSaved[aPart].mChanges = changes;
+        if (round == mRound) {
+          mSaved[aPart].mChanges = changes;
+        }
       } else {
         mHost.log(events::kPlacementsNotSaved,
                   "part=" + std::to_string(aPart) +
--- a/bulrushrun/steering/SteeringInstance.h
+++ b/bulrushrun/steering/SteeringInstance.h
@@ -125,6 +125,8 @@
   static constexpr double kStaleShare = 0.56;
   /// The store is asked after so many responses without proof: the next one often has it.
   static constexpr int kMaxUnprovenResponses = 2;
+  /// The registrations of all instances are spread over this time after a rise of the epoch.
+  static constexpr Duration kRewriteSpread = std::chrono::milliseconds(1000);
   /// Shortest time between two reads of a table because replicas differ.
   static constexpr Duration kMinReadAgainPeriod = std::chrono::seconds(10);
 
@@ -147,6 +149,17 @@
                  const Table& aRows,
                  const Adopt& aAdopt);
   void onTableChanges(ReplicatedTable aTable, const Table& aChanges);
+  // Epochs of the store.
+  void observeEpoch(StoreEpoch aEpoch, const std::string& aSource);
+  void replaceTable(ReplicatedTable aTable,
+                    const std::string& aSource,
+                    const Table& aRows,
+                    RecordVersion aVersion,
+                    StoreEpoch aEpoch);
+  bool isReturnedRowFollowed(ReplicatedTable aTable, const StoreRow& aRow) const;
+  void logNotFollowed(ReplicatedTable aTable, const StoreRow& aRow, const char* aReason);
+  bool adoptPeerEpoch(ReplicatedTable aTable, const PeerChanges& aChanges, const Endpoint& aPeer);
+  void rewriteRegistration(StoreEpoch aEpoch);
   bool areTablesRead() const;
   void startReplication();
   void setCurrent(ReplicatedTable aTable, TimePoint aWhen);
@@ -166,9 +179,9 @@
 
   // Membership.
   void registerSelf();
-  void onRegistered(RecordVersion aVersion);
+  void onRegistered(Incarnation aIncarnation);
   void readInstances(const std::string& aFrom);
-  void onInstances(const RowBatch& aBatch);
+  void onInstances(const RowBatch& aBatch, StoreEpoch aEpoch);
   std::string ownRegistration() const;
   void joinGossipWhenReady();
   void updateMembership();
@@ -191,6 +204,7 @@
   StartupQueue<HostType> mStartupLookups;
   std::array<FeedReader, kReplicatedTables> mFeedReaders;
   std::array<TableReplica, kReplicatedTables> mReplicas;
+  StoreEpochTracker mEpochs;
   /// When each table was last known to match the store's.
   std::array<TimePoint, kReplicatedTables> mSyncedAt;
   /// Peers cannot prove that their changes of the table are complete, so the store is asked.
@@ -231,6 +245,8 @@
 #include "bulrushrun/steering/SteeringInstanceTables.h"
 // Replication of the tables between peers.
 #include "bulrushrun/steering/SteeringInstanceReplication.h"
+// Epochs of the store.
+#include "bulrushrun/steering/SteeringInstanceEpoch.h"
 // Rows of the tables.
 #include "bulrushrun/steering/SteeringInstanceRows.h"
 // Membership.
--- a/bulrushrun/steering/SteeringInstanceMembership.h
+++ b/bulrushrun/steering/SteeringInstanceMembership.h
@@ -26,7 +26,7 @@
   return mSettings.mPeer.text() + " " + mSettings.mZone.text();
 }
 
-/// The version of the written row becomes the incarnation, since the store's counter only rises.
+/// The epoch and version of the written row become the incarnation, since together they only rise.
 template<class HostType, class Adapter>
 void SteeringInstance<HostType, Adapter>::registerSelf()
 {
@@ -38,12 +38,12 @@
                         kStoreCallTimeout,
                         kMaxResponseBytes,
                         [this](ExchangeResult aResult, const HttpResponse& aResponse) {
-                          const std::optional<RecordVersion> version =
+                          const std::optional<RowWriteResult> written =
                             aResult == ExchangeResult::Complete
                               ? StoreProtocol::parseWriteResponse(aResponse)
                               : std::nullopt;
-                          if (version) {
-                            onRegistered(*version);
+                          if (written) {
+                            onRegistered(incarnationOf(written->mEpoch, written->mVersion));
                           } else {
                             mHost.after(kStoreRetryDelay, [this] { registerSelf(); });
                           }
@@ -51,15 +51,10 @@
 }
 
 template<class HostType, class Adapter>
-void SteeringInstance<HostType, Adapter>::onRegistered(RecordVersion aVersion)
+void SteeringInstance<HostType, Adapter>::onRegistered(Incarnation aIncarnation)
 {
-  Member self{ mSettings.mInstance,
-               mSettings.mZone,
-               mSettings.mListen,
-               mSettings.mPeer,
-               Incarnation{ aVersion.value() },
-               MemberState::Alive,
-               ConfigurationVersion{} };
+  Member self{ mSettings.mInstance, mSettings.mZone,    mSettings.mListen,     mSettings.mPeer,
+               aIncarnation,        MemberState::Alive, ConfigurationVersion{} };
   std::vector<Endpoint> seeds = mSettings.mSeeds;
   for (Endpoint& seed : seeds) {
     seed.mPort = mSettings.mPeer.mPort;
@@ -91,7 +86,7 @@
                               ? StoreProtocol::parseReadResponse(aResponse)
                               : RowReadResult{};
                           if (result.mStatus == RowReadStatus::Ok) {
-                            onInstances(result.mBatch);
+                            onInstances(result.mBatch, result.mEpoch);
                           } else {
                             mHost.after(kStoreRetryDelay, [this, aFrom] { readInstances(aFrom); });
                           }
@@ -103,7 +98,7 @@
 /// the row of the previous incarnation is still correct, it is not written again, and the store's
 /// newest version becomes the incarnation.
 template<class HostType, class Adapter>
-void SteeringInstance<HostType, Adapter>::onInstances(const RowBatch& aBatch)
+void SteeringInstance<HostType, Adapter>::onInstances(const RowBatch& aBatch, StoreEpoch aEpoch)
 {
   for (const StoreRow& row : aBatch.mRows) {
     if (mPlacementArchive.isSavedRow(row.mKey)) {
@@ -129,7 +124,7 @@
   }
   mPlacementArchive.onSavedRowsRead();
   if (mRegistrationCurrent) {
-    onRegistered(aBatch.mVersion);
+    onRegistered(incarnationOf(aEpoch, aBatch.mVersion));
   } else {
     registerSelf();
   }
--- a/bulrushrun/steering/SteeringInstanceReplication.h
+++ b/bulrushrun/steering/SteeringInstanceReplication.h
@@ -24,26 +24,32 @@
   PeerChangesRequest local;
   const TimePoint now = mHost.now();
   for (std::size_t i = 0; i < kReplicatedTables; ++i) {
-    local.mProgress[i] = { mReplicas[i].completeVersion(), mReplicas[i].newestVersion() };
+    local.mProgress[i] = { mReplicas[i].completeVersion(),
+                           mReplicas[i].newestVersion(),
+                           mReplicas[i].epoch() };
     local.mStaleness = std::max(local.mStaleness, now - mSyncedAt[i]);
   }
   return local;
 }
 
-/// Requests the whole table of a peer when only the store could prove that changes are complete,
-/// and the store does not respond.
+/// Requests the whole table of a peer when only the store could prove that changes are complete, or
+/// send the table of a newer epoch, and the store does not respond.
 template<class HostType, class Adapter>
 PeerChangesRequest SteeringInstance<HostType, Adapter>::makePeerRequest() const
 {
   PeerChangesRequest request = localProgress();
   for (std::size_t i = 0; i < kReplicatedTables; ++i) {
-    if (mStoreNeeded[i] && mFeedReaders[i].isFailing()) {
-      request.mProgress[i] = {};
+    const bool isBehind = mReplicas[i].epoch() < mEpochs.epoch();
+    if ((mStoreNeeded[i] || isBehind) && mFeedReaders[i].isFailing()) {
+      // A peer with an older table does not send it.
+      request.mProgress[i] = { {}, {}, mEpochs.epoch() };
     }
   }
   return request;
 }
 
+/// Versions of different epochs can't be compared: to a requester of another epoch, only the epoch
+/// is stated, or the whole table sent, if that is requested and of use.
 template<class HostType, class Adapter>
 PeerChanges SteeringInstance<HostType, Adapter>::makePeerChanges(
   const ReplicationProgress& aProgress) const
@@ -53,6 +59,13 @@
   changes.mStaleness = local.mStaleness;
   changes.mProgress = local.mProgress;
   for (std::size_t i = 0; i < kReplicatedTables; ++i) {
+    const StoreEpoch epoch = mReplicas[i].epoch();
+    const bool wantsWholeTable =
+      aProgress[i].mCompleteVersion == RecordVersion{} && aProgress[i].mEpoch <= epoch;
+    if (aProgress[i].mEpoch != epoch && !wantsWholeTable) {
+      changes.mProgress[i] = { {}, {}, epoch };
+      continue;
+    }
     changes.mSummaries[i] = { mReplicas[i].removalsKnownFrom(), mReplicas[i].digest() };
     if (aProgress[i] != changes.mProgress[i]) {
       changes.mRows[i] = mReplicas[i].changesSince(aProgress[i].mCompleteVersion);
@@ -68,6 +81,9 @@
   const TimePoint currentAt = mHost.now() - aChanges.mStaleness;
   for (std::size_t i = 0; i < kReplicatedTables; ++i) {
     const ReplicatedTable table = static_cast<ReplicatedTable>(i);
+    if (!adoptPeerEpoch(table, aChanges, aPeer)) {
+      continue;
+    }
     PeerAdoption adoption;
     adoptRows(table, "peer peer=" + aPeer.text(), aChanges.mRows[i], [&](TableReplica& aReplica) {
       adoption = adoptPeerRows(aReplica,
@@ -77,7 +93,7 @@
                                aChanges.mSummaries[i]);
       if (adoption.mComplete) {
         setCurrent(table, currentAt);
-        mFeedReaders[i].advanceTo(aReplica.completeVersion());
+        mFeedReaders[i].advanceTo(aReplica.epoch(), aReplica.completeVersion());
       }
       return adoption.mApplied;
     });
--- a/bulrushrun/steering/SteeringInstanceService.h
+++ b/bulrushrun/steering/SteeringInstanceService.h
@@ -192,6 +192,13 @@
   counter("store_placement_calls_total",
           "Calls to the store that save placements of objects.",
           mPlacementArchive.storeCalls());
+  counter("store_epoch_rises_total",
+          "Times that the store came back from an older copy.",
+          mEpochs.rises());
+  text +=
+    "# HELP bulrushrun_store_epoch Epoch of the store; rises when it comes back from an older "
+    "copy.\n# TYPE bulrushrun_store_epoch gauge\nbulrushrun_store_epoch " +
+    std::to_string(mEpochs.epoch().value()) + "\n";
   mProxy.metrics().render(text);
   mProxy.regionShares().render(text);
   return text;
--- a/bulrushrun/steering/SteeringInstanceTables.h
+++ b/bulrushrun/steering/SteeringInstanceTables.h
@@ -115,9 +115,15 @@
   TableFeedListener listener;
   listener.mOnSnapshot =
     [this, aTable, index](const Table& aRows, RecordVersion aVersion, TimePoint aMadeAt) {
+      const StoreEpoch epoch = mFeedReaders[index].epoch();
+      observeEpoch(epoch, "store");
       setCurrent(aTable, aMadeAt);
       mStoreNeeded[index] = false;
       mUnprovenResponses[index] = 0;
+      if (epoch > mReplicas[index].epoch()) {
+        replaceTable(aTable, "read", aRows, aVersion, epoch);
+        return;
+      }
       adoptRows(aTable, "read", aRows, [&](TableReplica& aReplica) {
         return aReplica.applySnapshot(aRows, aVersion);
       });
@@ -131,6 +137,7 @@
       return aReplica.apply(aRows, mFeedReaders[index].version());
     });
   };
+  listener.mOnNewEpoch = [this](StoreEpoch aEpoch) { observeEpoch(aEpoch, "store"); };
   listener.mOnAvailability = [this, index, name](bool aAvailable, const std::string& aReason) {
     startReplication();
     mHost.log(aAvailable ? events::kFeedRegained : events::kFeedLost,
--- a/bulrushrun/steering/tests/FleetSimulation.cpp
+++ b/bulrushrun/steering/tests/FleetSimulation.cpp
@@ -63,6 +63,11 @@
 
 SimulatedInstance& FleetSimulation::add(const std::string& aName, const std::string& aZone)
 {
+  if (const auto failed = mNodes.find(aName); failed != mNodes.end()) {
+    // Its timers stay armed.
+    mFailedNodes.push_back(std::move(failed->second));
+    mNodes.erase(failed);
+  }
   SimulatedNode& simulatedNode = mNodes[aName];
   SteeringSettings& settings = simulatedNode.mSettings;
   const std::uint32_t address = ++mLastAddress;
--- a/bulrushrun/steering/tests/FleetSimulation.h
+++ b/bulrushrun/steering/tests/FleetSimulation.h
@@ -111,7 +111,8 @@
   {
   }
 
-  /// \brief Adds an instance without starting it.
+  /// \brief Adds an instance without starting it; one of the same name must have been killed
+  /// before.
   SimulatedInstance& add(const std::string& aName, const std::string& aZone);
   SimulatedInstance& node(const std::string& aName) { return *mNodes.at(aName).mNode; }
   SimulatedHost& host(const std::string& aName) { return *mNodes.at(aName).mHost; }
@@ -204,6 +205,8 @@
   TimePoint mNow{ std::chrono::seconds(1000) };
   TimerQueue mTimers;
   std::map<std::string, SimulatedNode> mNodes;
+  /// Killed instances that were added again.
+  std::vector<SimulatedNode> mFailedNodes;
   std::map<std::string, Endpoint> mTargets;
   std::map<std::uint64_t, PendingExchange> mExchanges;
   std::set<std::uint64_t> mPendingFeeds;
--- a/bulrushrun/store.h
+++ b/bulrushrun/store.h
@@ -15,6 +15,7 @@
 #include "bulrushrun/store/PlatformClient.h"
 // Row store: rows, change feed and replica of a table.
 #include "bulrushrun/store/StoreClock.h"
+#include "bulrushrun/store/StoreEpoch.h"
 #include "bulrushrun/store/StoreRow.h"
 #include "bulrushrun/store/TableFeedReader.h"
 #include "bulrushrun/store/TableReplica.h"
--- a/bulrushrun/store/PeerReplicationCodec.cpp
+++ b/bulrushrun/store/PeerReplicationCodec.cpp
@@ -17,16 +17,22 @@
 /// Bytes into which the values of one response may be decompressed.
 constexpr std::uint64_t kMaxDecompressedBytes = std::uint64_t{ 16 } * 1024 * 1024;
 /// Numbers in the query: two versions per table, the staleness and the maximum wait. Newer
-/// instances append whether they read compressed values; older ones ignore that.
+/// instances append whether they read compressed values; older ones ignore that. The epochs of the
+/// tables follow unless all are 0; an instance that does not know them then sends no compressed
+/// values.
 constexpr std::size_t kRequestNumbers = 2 * kReplicatedTables + 2;
 
 /// Key, value, version, whether it is removed, and one more than the length of the value if that is
 /// compressed; zero if not, or from an older instance.
 using WireRow = std::tuple<std::string, std::string, std::uint64_t, bool, std::uint64_t>;
-/// Complete version, newest version, rows, version from which removals are known, digest. Items
-/// that an older instance does not send are zero.
-using WireTable =
-  std::tuple<std::uint64_t, std::uint64_t, std::vector<WireRow>, std::uint64_t, std::uint64_t>;
+/// Complete version, newest version, rows, version from which removals are known, digest, epoch.
+/// Items that an older instance does not send are zero.
+using WireTable = std::tuple<std::uint64_t,
+                             std::uint64_t,
+                             std::vector<WireRow>,
+                             std::uint64_t,
+                             std::uint64_t,
+                             std::uint64_t>;
 /// Staleness in milliseconds, tables, and one more than the milliseconds for which the request was
 /// held; zero from an older instance.
 using WireChanges = std::tuple<std::int64_t, std::vector<WireTable>, std::int64_t>;
@@ -50,7 +56,8 @@
            aProgress.mNewestVersion.value(),
            std::move(rows),
            aSummary.mRemovalsKnownFrom.value(),
-           aSummary.mDigest };
+           aSummary.mDigest,
+           aProgress.mEpoch.value() };
 }
 
 /// \param aBytesLeft  bytes into which values may still be decompressed
@@ -84,9 +91,17 @@
     path += std::to_string(table.mCompleteVersion.value()) + "," +
             std::to_string(table.mNewestVersion.value()) + ",";
   }
-  return path + std::to_string(toMillis(aRequest.mStaleness)) + "," +
-         std::to_string(toMillis(aRequest.mMaxWait)) + "," +
-         (aRequest.mAcceptsCompressed ? "1" : "0");
+  path += std::to_string(toMillis(aRequest.mStaleness)) + "," +
+          std::to_string(toMillis(aRequest.mMaxWait)) + "," +
+          (aRequest.mAcceptsCompressed ? "1" : "0");
+  const bool hasEpochs =
+    std::any_of(aRequest.mProgress.begin(),
+                aRequest.mProgress.end(),
+                [](const TableProgress& aTable) { return aTable.mEpoch != StoreEpoch{}; });
+  for (const TableProgress& table : aRequest.mProgress) {
+    path += hasEpochs ? "," + std::to_string(table.mEpoch.value()) : "";
+  }
+  return path;
 }
 
 std::optional<PeerChangesRequest> parsePeerChangesRequest(const std::string& aPath)
@@ -98,17 +113,27 @@
   std::array<std::uint64_t, kRequestNumbers> numbers{};
   const char* position = aPath.data() + prefix.size();
   const char* end = aPath.data() + aPath.size();
-  for (std::uint64_t& number : numbers) {
-    const std::from_chars_result result = std::from_chars(position, end, number);
-    if (result.ec != std::errc{}) {
-      return std::nullopt;
-    }
+  const auto readNumber = [&position, end](std::uint64_t& aNumber) {
+    const std::from_chars_result result = std::from_chars(position, end, aNumber);
     position = result.ptr == end ? end : result.ptr + 1;
+    return result.ec == std::errc{};
+  };
+  if (!std::all_of(numbers.begin(), numbers.end(), readNumber)) {
+    return std::nullopt;
   }
   PeerChangesRequest request;
-  request.mAcceptsCompressed = std::string_view{ position, end } == "1";
+  const std::string_view options{ position, end };
+  request.mAcceptsCompressed = options == "1" || options.starts_with("1,");
+  std::uint64_t acceptsCompressed = 0;
+  std::array<std::uint64_t, kReplicatedTables> epochs{};
+  if (readNumber(acceptsCompressed) && std::all_of(epochs.begin(), epochs.end(), readNumber)) {
+    for (std::size_t i = 0; i < kReplicatedTables; ++i) {
+      request.mProgress[i].mEpoch = StoreEpoch{ epochs[i] };
+    }
+  }
   for (std::size_t i = 0; i < kReplicatedTables; ++i) {
-    request.mProgress[i] = { RecordVersion{ numbers[2 * i] }, RecordVersion{ numbers[2 * i + 1] } };
+    request.mProgress[i].mCompleteVersion = RecordVersion{ numbers[2 * i] };
+    request.mProgress[i].mNewestVersion = RecordVersion{ numbers[2 * i + 1] };
   }
   const auto millis = [](std::uint64_t aNumber) {
     return std::chrono::milliseconds(std::min(aNumber, kMaxMillis));
@@ -149,9 +174,11 @@
   }
   std::uint64_t bytesLeft = kMaxDecompressedBytes;
   for (std::size_t i = 0; i < kReplicatedTables; ++i) {
-    const auto& [complete, newest, rows, removalsKnownFrom, digest] = std::get<1>(*wire)[i];
+    const auto& [complete, newest, rows, removalsKnownFrom, digest, epoch] = std::get<1>(*wire)[i];
     changes.mSummaries[i] = { RecordVersion{ removalsKnownFrom }, digest };
-    changes.mProgress[i] = { RecordVersion{ complete }, RecordVersion{ newest } };
+    changes.mProgress[i] = { RecordVersion{ complete },
+                             RecordVersion{ newest },
+                             StoreEpoch{ epoch } };
     for (const WireRow& wireRow : rows) {
       std::optional<StoreRow> row = fromWire(wireRow, bytesLeft);
       if (!row) {
--- a/bulrushrun/store/PeerReplicationCodec.h
+++ b/bulrushrun/store/PeerReplicationCodec.h
@@ -27,12 +27,16 @@
 }
 
 /// \brief Versions up to which an instance has received the changes of a table.
+///
+/// Of two epochs, the newer one is ahead, whatever the versions are.
 struct TableProgress
 {
   /// Every change up to this version was received.
   RecordVersion mCompleteVersion;
   /// Newest version of any row; some changes between the two versions may be missing.
   RecordVersion mNewestVersion;
+  /// Epoch of the store to which both versions belong; 0 from instances that do not report it.
+  StoreEpoch mEpoch = {};
 
   bool operator==(const TableProgress&) const = default;
 };
--- a/bulrushrun/store/PeerReplicator.h
+++ b/bulrushrun/store/PeerReplicator.h
@@ -89,7 +89,9 @@
     std::erase_if(mPendingRequests, [&](const PendingRequest& aPending) {
       const bool isFresher =
         now - own.mStaleness > aPending.mReplicasCurrentAt + mPeriod / kFreshnessDivisor;
-      const bool hasChanges = isAhead(own.mProgress, aPending.mProgress);
+      // A requester at a newer epoch asks another peer.
+      const bool hasChanges = isAhead(own.mProgress, aPending.mProgress) ||
+                              isOfOlderEpoch(own.mProgress, aPending.mProgress);
       if (!hasChanges && !isFresher && now < aPending.mExpiresAt) {
         return aPending.mResponder->isDisconnected();
       }
@@ -130,8 +132,30 @@
   static bool isAhead(const ReplicationProgress& aLeft, const ReplicationProgress& aRight)
   {
     for (std::size_t i = 0; i < kReplicatedTables; ++i) {
-      if (aLeft[i].mCompleteVersion > aRight[i].mCompleteVersion ||
-          aLeft[i].mNewestVersion > aRight[i].mNewestVersion) {
+      if (isAhead(aLeft[i], aRight[i])) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  static bool isAhead(const TableProgress& aLeft, const TableProgress& aRight)
+  {
+    if (aLeft.mEpoch != aRight.mEpoch) {
+      return aLeft.mEpoch > aRight.mEpoch;
+    }
+    // After a rise, replicas that are equal differ in the versions of their tombstones.
+    const RecordVersion newest = aRight.mEpoch == StoreEpoch{}
+                                   ? aRight.mNewestVersion
+                                   : std::max(aRight.mNewestVersion, aRight.mCompleteVersion);
+    return aLeft.mCompleteVersion > aRight.mCompleteVersion || aLeft.mNewestVersion > newest;
+  }
+
+  /// \returns true when a table of a peer is of an older epoch, so that its changes are of no use.
+  static bool isOfOlderEpoch(const ReplicationProgress& aPeer, const ReplicationProgress& aOwn)
+  {
+    for (std::size_t i = 0; i < kReplicatedTables; ++i) {
+      if (aPeer[i].mEpoch < aOwn[i].mEpoch) {
         return true;
       }
     }
@@ -183,7 +207,9 @@
                   " bytes=" + std::to_string(aResponse.mBody.size()) +
                   " ms=" + std::to_string(toMillis(mHost.now() - mRequestedAt)));
     }
-    mLastResponseUnusable = !changes || changes->mStaleness > mPeriod + kTransferAllowance;
+    mLastResponseUnusable =
+      !changes || changes->mStaleness > mPeriod + kTransferAllowance ||
+      isOfOlderEpoch(changes->mProgress, mCallbacks.mLocalProgress().mProgress);
     if (changes) {
       // The responder measured its staleness when it sent the response. All of the time for which
       // it is not known to have held the request may have passed since.
--- a/bulrushrun/store/StoreRow.h
+++ b/bulrushrun/store/StoreRow.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bulrushrun/core.h"
+#include "bulrushrun/store/StoreEpoch.h"
 
 #include <memory>
 #include <optional>
@@ -19,6 +20,8 @@
   /// The value as compressText() makes it, kept so that a large one is compressed once for all
   /// peers; null when it was not compressed.
   std::shared_ptr<const std::string> mCompressedValue = nullptr;
+  /// In a replica's tombstone: newest version of the row before its removal; 0 if unknown.
+  RecordVersion mVersionBeforeRemoval = {};
 };
 
 /// \brief Rows of one table at one version of the store.
@@ -53,6 +56,8 @@
 struct RowReadResult
 {
   RowReadStatus mStatus = RowReadStatus::Unavailable;
+  /// Epoch of the store, stated in responses with any status; 0 if not stated.
+  StoreEpoch mEpoch = {};
   RowBatch mBatch;
   /// Rows that were left out because they have no key or no version.
   std::size_t mUnreadableRows = 0;
@@ -60,4 +65,12 @@
   std::string mReason;
 };
 
+/// \brief Confirmation of a write to the row store.
+struct RowWriteResult
+{
+  StoreEpoch mEpoch;
+  /// Version of the written row.
+  RecordVersion mVersion;
+};
+
 } // namespace bulrushrun
--- a/bulrushrun/store/TableFeedReader.h
+++ b/bulrushrun/store/TableFeedReader.h
@@ -5,6 +5,7 @@
 #include "bulrushrun/store/BufferedExchange.h"
 #include "bulrushrun/store/StoreClock.h"
 #include "bulrushrun/store/StoreRow.h"
+#include "bulrushrun/store/TableFeedListener.h"
 
 #include <functional>
 #include <string>
@@ -13,33 +14,12 @@
 
 namespace bulrushrun {
 
-/// \brief Callbacks of a TableFeedReader.
-struct TableFeedListener
-{
-  /// Receives the complete table at a version, after each read of all its pages, and the time at
-  /// which the store made the first page.
-  std::function<void(const std::vector<StoreRow>&, RecordVersion, TimePoint)> mOnSnapshot;
-  /// Receives changes in the order of their versions, none when the store reported no changes, and
-  /// the time at which the store made the response.
-  std::function<void(const std::vector<StoreRow>&, TimePoint)> mOnChanges;
-  /// Runs when the store became unavailable (false, with the reason) or available again (true).
-  std::function<void(bool, const std::string&)> mOnAvailability;
-};
-
-/// \brief Timeouts of feed calls.
-struct FeedTimeouts
-{
-  /// Longest time for which the store may hold a feed call without changes (long polling).
-  Duration mMaxWait = std::chrono::milliseconds(1000);
-  /// Additional time after which a call without a response is aborted.
-  Duration mTransferAllowance = std::chrono::milliseconds(600);
-};
-
 /// \brief Reads a table completely and then its change feed.
 ///
 /// After a failure, the feed resumes at the version that was reached; the table is read again only
-/// when the store no longer has that history. A feed call without a response is aborted, because a
-/// connection that lost a response never delivers another one.
+/// when the store no longer has that history, or has come back at a newer epoch. Responses of an
+/// epoch that is older than a known one are discarded. A feed call without a response is aborted,
+/// because a connection that lost a response never delivers another one.
 ///
 /// \tparam Protocol  encoding of the store's calls: makeReadRequest, makeFeedRequest and
 /// parseReadResponse
@@ -80,15 +60,37 @@
     }
   }
 
+  /// \brief Reads the table again, in place of the call in progress, if it has not reached an epoch
+  /// of which another source reported; older responses are discarded from now on.
+  void requireEpoch(StoreEpoch aEpoch)
+  {
+    if (!raiseRequiredEpoch(aEpoch) || mReading) {
+      // A read in progress starts again when its pages are of different epochs.
+      return;
+    }
+    mSuspended = false;
+    readPage("");
+  }
+
   /// \brief \returns true when the last call to the store failed, since the feed was resumed.
   bool isFailing() const { return mFailing; }
 
   /// \brief Skips changes up to a version, all of which were received from peers.
-  void advanceTo(RecordVersion aVersion) { mVersion = std::max(mVersion, aVersion); }
+  void advanceTo(StoreEpoch aEpoch, RecordVersion aVersion)
+  {
+    if (aEpoch > mEpoch) {
+      mVersion = aVersion;
+      mEpoch = aEpoch;
+    } else if (aEpoch == mEpoch) {
+      mVersion = std::max(mVersion, aVersion);
+    }
+  }
 
   /// \brief Starts to read the table.
   void start() { readPage(""); }
 
+  /// \brief \returns the epoch of the version that was reached.
+  StoreEpoch epoch() const { return mEpoch; }
   /// \brief \returns the version that was reached.
   RecordVersion version() const { return mVersion; }
   /// \brief \returns the number of calls that read the table.
@@ -117,6 +119,7 @@
       mPendingBytes = 0;
     }
     ++mTableReads;
+    mReading = true;
     call(Protocol::makeReadRequest(mTable, aFrom), kReadTimeout, [this](RowReadResult aResult) {
       onPage(std::move(aResult));
     });
@@ -128,7 +131,13 @@
       onFailure(aResult.mReason, [this] { readPage(""); });
       return;
     }
+    if (!mPendingRows.empty() && aResult.mEpoch != mSnapshotEpoch) {
+      // The pages before are of an older epoch.
+      readPage("");
+      return;
+    }
     if (mPendingRows.empty()) {
+      mSnapshotEpoch = aResult.mEpoch;
       // The version of the first page: changes between the pages are repeated by the feed.
       mSnapshotVersion = aResult.mBatch.mVersion;
       mSnapshotMadeAt = madeAt(aResult);
@@ -150,22 +159,13 @@
       return;
     }
     onSuccess();
-    mVersion = std::max(mVersion, mSnapshotVersion);
+    advanceTo(mSnapshotEpoch, mSnapshotVersion);
+    mReading = false;
     mListener.mOnSnapshot(std::exchange(mPendingRows, {}), mSnapshotVersion, mSnapshotMadeAt);
     requestFeed();
   }
 
-  /// Gives up a read of the table that may have no end.
-  void rejectTable(const char* aReason)
-  {
-    mHost.log(events::kTableRejected,
-              "table=" + mTable + " reason=\"" + aReason + "\" bytes=" +
-                std::to_string(mPendingBytes) + " rows=" + std::to_string(mPendingRows.size()));
-    mPendingRows = {};
-    mPendingBytes = 0;
-    mBackoff = kFaultyTableDelay;
-    onFailure(aReason, [this] { readPage(""); });
-  }
+  void rejectTable(const char* aReason);
 
   void requestFeed() { requestFeed(mTimeouts.mMaxWait); }
 
@@ -201,7 +201,11 @@
     if (aResult.mBatch.mRows.empty()) {
       requestFeed();
     } else {
-      mHost.after(kBurstDelay, [this] { requestFeed(); });
+      mHost.after(kBurstDelay, [this, call = mCall] {
+        if (call == mCall) {
+          requestFeed();
+        }
+      });
     }
   }
 
@@ -219,48 +223,10 @@
     }
   }
 
-  void onFailure(const std::string& aReason, std::function<void()> aRetry)
-  {
-    mFailing = true;
-    if (std::exchange(mAvailable, false)) {
-      mListener.mOnAvailability(false, aReason);
-    }
-    const std::int64_t half = mBackoff.count() / 2;
-    const Duration jitter{ static_cast<std::int64_t>(
-      mHost.random().below(static_cast<std::uint64_t>(half) + 1)) };
-    mHost.after(Duration{ half } + jitter, std::move(aRetry));
-    mBackoff = std::min(2 * mBackoff, kMaxBackoff);
-  }
-
-  void call(HttpRequest aRequest, Duration aTimeout, std::function<void(RowReadResult)> aDone)
-  {
-    mCalledAt = mHost.now();
-    startBufferedExchange(
-      mHost,
-      mStore,
-      std::move(aRequest),
-      aTimeout,
-      kMaxResponseBytes,
-      [this, done = std::move(aDone)](ExchangeResult aExchangeResult,
-                                      const HttpResponse& aResponse) {
-        RowReadResult result;
-        if (aExchangeResult == ExchangeResult::Complete) {
-          result = Protocol::parseReadResponse(aResponse);
-          if (result.mUnreadableRows > 0) {
-            mUnreadableRows += result.mUnreadableRows;
-            mHost.log(events::kRowsUnreadable,
-                      "table=" + mTable + " rows=" + std::to_string(result.mUnreadableRows));
-          }
-        } else {
-          result.mReason = "no response";
-          mHost.log(events::kTransferInterrupted,
-                    "source=store table=" + mTable +
-                      " bytes=" + std::to_string(aResponse.mBody.size()) +
-                      " ms=" + std::to_string(toMillis(mHost.now() - mCalledAt)));
-        }
-        done(std::move(result));
-      });
-  }
+  void onFailure(const std::string& aReason, std::function<void()> aRetry);
+  bool raiseRequiredEpoch(StoreEpoch aEpoch);
+  bool checkEpoch(RowReadResult& aResult);
+  void call(HttpRequest aRequest, Duration aTimeout, std::function<void(RowReadResult)> aDone);
 
   HostType& mHost;
   Endpoint mStore;
@@ -269,7 +235,12 @@
   TableFeedListener mListener;
   std::vector<StoreRow> mPendingRows;
   std::size_t mPendingBytes = 0;
+  /// Newest epoch that any source reported.
+  StoreEpoch mRequiredEpoch;
+  /// Epoch of mVersion.
+  StoreEpoch mEpoch;
   RecordVersion mVersion;
+  StoreEpoch mSnapshotEpoch;
   /// Version of the read in progress. Peers may advance mVersion meanwhile.
   RecordVersion mSnapshotVersion;
   TimePoint mSnapshotMadeAt;
@@ -281,9 +252,16 @@
   bool mActive = true;
   bool mSuspended = false;
   bool mTableRequested = false;
+  /// The table is being read, unless the last call of the read failed.
+  bool mReading = false;
+  /// Number of the last call; callbacks of earlier ones do nothing.
+  std::uint64_t mCall = 0;
   std::uint64_t mTableReads = 0;
   std::uint64_t mFeedCalls = 0;
   std::uint64_t mUnreadableRows = 0;
 };
 
 } // namespace bulrushrun
+
+// Calls to the store, their failures and epochs.
+#include "bulrushrun/store/TableFeedReaderCalls.h"
--- a/bulrushrun/store/TableReplica.cpp
+++ b/bulrushrun/store/TableReplica.cpp
@@ -28,7 +28,10 @@
   if (aRow.mRemoved) {
     mTombstones.emplace(aRow.mVersion, aRow.mKey);
   }
+  const RecordVersion versionBefore =
+    aKnown.mRemoved ? aKnown.mVersionBeforeRemoval : aKnown.mVersion;
   aKnown = aRow;
+  aKnown.mVersionBeforeRemoval = aRow.mRemoved ? versionBefore : RecordVersion{};
   if (aKnown.mValue.size() >= kMinCompressedBytes && aKnown.mCompressedValue == nullptr) {
     aKnown.mCompressedValue = std::make_shared<const std::string>(compressText(aKnown.mValue));
   }
@@ -102,6 +105,53 @@
   return applied;
 }
 
+/// A tombstone stays, since a later epoch may come from a copy that is older still. It gets the
+/// version of the table: versions of another epoch have no meaning in this one.
+EpochChanges TableReplica::replaceBy(const std::vector<StoreRow>& aRows,
+                                     RecordVersion aVersion,
+                                     StoreEpoch aEpoch)
+{
+  EpochChanges changes;
+  std::set<std::string> keys;
+  mNewestVersion = {};
+  for (const StoreRow& row : aRows) {
+    if (row.mRemoved) {
+      continue;
+    }
+    keys.insert(row.mKey);
+    const auto [found, inserted] = mRows.try_emplace(row.mKey, StoreRow{ row.mKey, "", {}, true });
+    StoreRow& known = found->second;
+    const RecordVersion versionBeforeRemoval = known.mVersionBeforeRemoval;
+    const bool isReturned = known.mRemoved && row.mVersion <= versionBeforeRemoval;
+    const bool differs =
+      known.mRemoved || known.mVersion != row.mVersion || known.mValue != row.mValue;
+    if (differs) {
+      replaceRow(known, row);
+      (isReturned ? changes.mReturned : changes.mChanged).push_back(known);
+      if (isReturned) {
+        changes.mReturned.back().mVersionBeforeRemoval = versionBeforeRemoval;
+      }
+    }
+    mNewestVersion = std::max(mNewestVersion, row.mVersion);
+  }
+  for (auto row = mRows.begin(); row != mRows.end(); ++row) {
+    StoreRow& known = row->second;
+    if (keys.contains(known.mKey)) {
+      continue;
+    }
+    const bool isLost = !known.mRemoved;
+    replaceRow(known, { known.mKey, "", aVersion, true });
+    if (isLost) {
+      changes.mLost.push_back(known);
+    }
+  }
+  mEpoch = aEpoch;
+  mCompleteVersion = aVersion;
+  mRemovalsKnownFrom = aVersion;
+  dropOldTombstones();
+  return changes;
+}
+
 void TableReplica::setEqualTo(RecordVersion aCompleteVersion, RecordVersion aRemovalsKnownFrom)
 {
   mCompleteVersion = std::max(mCompleteVersion, aCompleteVersion);
