Soak: the store comes back from an older copy

Cause: restores of the store were played only under a virtual clock. Change: half of the faults that compact the store's history restore it to a copy of 0.5 to 5.5 s instead, after 300 ms without the store; 0.05 to 0.95 s later the harness writes the newest configuration and the targets' rows again.

--- a/soak/SoakFaults.cpp
+++ b/soak/SoakFaults.cpp
@@ -34,6 +34,10 @@
     injectRepeatedRefusals(duration);
     return;
   }
+  if (mOptions.mOnlyOlderStore) {
+    restoreStore();
+    return;
+  }
   switch (mRandom.below(11)) {
     case 0:
     case 1:
@@ -138,18 +142,55 @@
       faults.mDelay = std::chrono::milliseconds(50 + mRandom.below(400));
       break;
     default:
+      if (mRestoreRandom.chance(0.5)) {
+        restoreStore();
+        return;
+      }
       mStore.compact();
       mStore.put("servers", "malformed", "{ no entry");
       return;
   }
+  setStoreFaults(faults);
+  mLoop.after(aDuration, [this] { setStoreFaults({}); });
+}
+
+void SoakRun::setStoreFaults(const standins::StoreFaults& aFaults)
+{
   for (const Instance& instance : mInstances) {
-    mStore.faults(instance.mStoreEndpoint) = faults;
+    mStore.faults(instance.mStoreEndpoint) = aFaults;
   }
-  mLoop.after(aDuration, [this] {
-    for (const Instance& instance : mInstances) {
-      mStore.faults(instance.mStoreEndpoint) = {};
-    }
+}
+
+/// The store is unavailable for a moment and comes back from an older copy. Some time later, the
+/// operator and the targets write again what they had written.
+void SoakRun::restoreStore()
+{
+  constexpr Duration kOutage = std::chrono::milliseconds(300);
+  const Duration age = std::chrono::milliseconds(500 + mRestoreRandom.below(5000));
+  const Duration rewriteDelay = std::chrono::milliseconds(50 + mRestoreRandom.below(900));
+  logFault("store comes back " + std::to_string(toMillis(age)) + " ms older");
+  mChecker.store().addDisturbance(EventLoop::now() + kOutage + rewriteDelay);
+  standins::StoreFaults faults;
+  faults.mErrorStatus = 503;
+  setStoreFaults(faults);
+  mLoop.after(kOutage, [this, age] {
+    setStoreFaults({});
+    mStore.restore(age);
   });
+  mLoop.after(kOutage + rewriteDelay, [this] { rewriteRows(); });
+}
+
+void SoakRun::rewriteRows()
+{
+  mStore.put("op", "config", mConfiguration);
+  for (const Target& target : mTargets) {
+    const std::string& id = target.mServer->setup().mId;
+    if (mRemovedTargets.contains(id)) {
+      mStore.remove("servers", id);
+    } else {
+      putTarget(target);
+    }
+  }
 }
 
 /// The store rejects the calls of one instance while it serves the others, so that the instance
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -41,6 +41,7 @@
   : mOptions(std::move(aOptions))
   , mRandom(mOptions.mSeed)
   , mWishRandom(mOptions.mSeed + 1)
+  , mRestoreRandom(mOptions.mSeed + 2)
   , mChecker(mOptions.mInstances)
   , mStore(mLoop, mRandom.next())
 {
@@ -141,13 +142,12 @@
            R"(,"maxAttempts":2,"sticky":true,"service":")" + aTargetService + R"("})";
   };
   const std::string version = "r" + std::to_string(mVersion);
-  mStore.put("op",
-             "config",
-             R"({"version":")" + version + R"(","routes":[)" + route("read", "safe", "work") + "," +
-               route("files", "download", "work") + "," + route("order", "non_idempotent", "work") +
-               "," + route("probe", "safe", probes) + "," +
-               route("slow", "non_idempotent", "slow", Callers::kSlowTimeout) +
-               R"(],"services":[{"name":"work","coldStartS":1.0,"coldPerS":20}],"limits":{}})");
+  mConfiguration = R"({"version":")" + version + R"(","routes":[)" + route("read", "safe", "work") +
+                   "," + route("files", "download", "work") + "," +
+                   route("order", "non_idempotent", "work") + "," + route("probe", "safe", probes) +
+                   "," + route("slow", "non_idempotent", "slow", Callers::kSlowTimeout) +
+                   R"(],"services":[{"name":"work","coldStartS":1.0,"coldPerS":20}],"limits":{}})";
+  mStore.put("op", "config", mConfiguration);
   mChecker.onVersion(mVersion, EventLoop::now());
   if (EventLoop::now() < mEndAt && !mOptions.mCalm) {
     mLoop.after(kConfigurationInterval, [this] { putConfiguration(); });
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,8 @@
   bool mCalm = false;
   /// Inject only planned work, so that no disturbance excuses an interrupted request.
   bool mPlannedOnly = false;
+  /// The only faults are restores of the store to an older copy.
+  bool mOnlyOlderStore = false;
   /// The only faults are targets that send earlier refusals again.
   bool mOnlyRepeatedRefusals = false;
   /// Program under test.
@@ -93,6 +96,9 @@
   void injectProcessFault(std::size_t aNumber, Duration aDuration);
   void injectPlannedStop(std::size_t aNumber);
   void injectStoreFault(Duration aDuration);
+  void setStoreFaults(const standins::StoreFaults& aFaults);
+  void restoreStore();
+  void rewriteRows();
   void denyStoreAccess(std::size_t aNumber, Duration aDuration);
   void injectTargetNetworkFault(Duration aDuration);
   void injectTargetFault(Duration aDuration);
@@ -107,6 +113,8 @@
   Random mRandom;
   /// For what targets say in their answers; separate, so that seeds keep their other faults.
   Random mWishRandom;
+  /// For restores of the store; separate for the same reason.
+  Random mRestoreRandom;
   EventLoop mLoop;
   InvariantChecker mChecker;
   standins::RowStoreServer mStore;
@@ -114,6 +122,10 @@
   std::vector<Target> mTargets;
   std::unique_ptr<Callers> mCallers;
   std::uint64_t mVersion = 0;
+  /// The row with the newest configuration.
+  std::string mConfiguration;
+  /// Targets that have left and removed their rows.
+  std::set<std::string> mRemovedTargets;
   TimePoint mStartedAt;
   TimePoint mFaultsEndAt;
   TimePoint mEndAt;
--- a/soak/SoakTargetFaults.cpp
+++ b/soak/SoakTargetFaults.cpp
@@ -142,9 +142,13 @@
     putTarget(target);
     mChecker.onLeaving(id, EventLoop::now());
   }
-  mLoop.after(kLeavingDuration, [this, id] { mStore.remove("servers", id); });
+  mLoop.after(kLeavingDuration, [this, id] {
+    mRemovedTargets.insert(id);
+    mStore.remove("servers", id);
+  });
   mLoop.after(kLeavingDuration + std::chrono::seconds(2), [this, number, id] {
     mTargets[number].mServer->restart();
+    mRemovedTargets.erase(id);
     mChecker.onLeaving(id, std::nullopt);
     mChecker.onTargetRestart(id, EventLoop::now());
     putTarget(mTargets[number]);
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -18,6 +18,7 @@
 ABSL_FLAG(bool, planned, false, "inject only planned work: stops, reloads, drains of targets");
 ABSL_FLAG(bool, calm, false, "inject no faults and no maintenance");
 ABSL_FLAG(bool, repeated_refusals, false, "inject only targets that send refusals again");
+ABSL_FLAG(bool, older_store, false, "inject only restores of the store to an older copy");
 ABSL_FLAG(std::string, folder, "", "folder for settings and logs; empty for a temporary one");
 
 namespace {
@@ -40,6 +41,7 @@
   options.mFaultSpan = fromSeconds(absl::GetFlag(FLAGS_seconds));
   options.mPlannedOnly = absl::GetFlag(FLAGS_planned);
   options.mCalm = absl::GetFlag(FLAGS_calm);
+  options.mOnlyOlderStore = absl::GetFlag(FLAGS_older_store);
   options.mOnlyRepeatedRefusals = absl::GetFlag(FLAGS_repeated_refusals);
   options.mProgram = absl::GetFlag(FLAGS_program);
   options.mFolder = folder / ("seed-" + std::to_string(aSeed));
