Requests that callers send before the response to an earlier one are started ahead

h2o reads the next request of a connection only after the response to the previous one, so a pipelined request waited although its target was free. RequestPipeline looks at the bytes behind the request in progress, in h2o's input buffer and, by peeking, in the kernel, and starts what HttpHandlers::mMayRunAhead accepts with a responder that holds its response. When h2o comes to the request, it must be the one that was started; the responder is then attached to it, so that framing, order and keep-alive stay with h2o. Requests that are not plain, have a body or are not accepted wait for their turn, and nothing behind them is started before they have been answered. A connection is closed only after the last request that was started on it.

HttpResponder::isDisconnected now sees the end of the caller's stream also behind unread bytes. InputThrottle keeps the close callback of a connection that it pauses, and does not take a connection that is only watched for one that is read.

Nothing uses mMayRunAhead yet.

--- a/bulrushrun/host/EventCatalogue.h
+++ b/bulrushrun/host/EventCatalogue.h
@@ -69,6 +69,10 @@
 inline constexpr Event kRegionShares{ 8005, Severity::Info, "region-shares" };
 inline constexpr Event kReadingPaused{ 8006, Severity::Warn, "reading-paused" };
 inline constexpr Event kReadingResumed{ 8007, Severity::Info, "reading-resumed" };
+inline constexpr Event kPipelineLimitReached{ 8010, Severity::Warn, "pipeline-limit-reached" };
+inline constexpr Event kPipelineLimitLeft{ 8011, Severity::Info, "pipeline-limit-left" };
+inline constexpr Event kPipelineMismatch{ 8012, Severity::Error, "pipeline-mismatch" };
+inline constexpr Event kPipelineAbandoned{ 8013, Severity::Info, "pipeline-abandoned" };
 
 inline constexpr std::array kAllEvents{
   kInstanceStarted,      kInstanceReady,        kDrainStarted,         kDrainEnded,
@@ -85,7 +89,8 @@
   kPlacementsLoaded,     kPlacementsNotSaved,   kPlacementsNotLoaded,  kRowsAdopted,
   kRowsUnreadable,       kReplicaDiverged,      kTargetHeaderIgnored,  kTargetResting,
   kTransferInterrupted,  kTargetRateLimited,    kRegionShares,         kReadingPaused,
-  kReadingResumed,       kTableRejected
+  kReadingResumed,       kTableRejected,        kPipelineLimitReached, kPipelineLimitLeft,
+  kPipelineMismatch,     kPipelineAbandoned
 };
 
 } // namespace bulrushrun::events
--- a/bulrushrun/net.h
+++ b/bulrushrun/net.h
@@ -9,6 +9,7 @@
 #include "bulrushrun/net/HttpResponder.h"
 #include "bulrushrun/net/HttpServer.h"
 #include "bulrushrun/net/InputThrottle.h"
+#include "bulrushrun/net/RequestPipeline.h"
 #include "bulrushrun/net/RequestValidation.h"
 #include "bulrushrun/net/Sockets.h"
 // HTTP client.
--- a/bulrushrun/net/HttpResponder.cpp
+++ b/bulrushrun/net/HttpResponder.cpp
@@ -1,8 +1,13 @@
 #include "bulrushrun/net/HttpResponder.h"
 
+#include "bulrushrun/core.h"
+#include "bulrushrun/net/H2oRequest.h"
+#include "bulrushrun/net/PipelinedConnection.h"
+#include "bulrushrun/net/Sockets.h"
+
 #include <sys/socket.h>
 
-#include <cerrno>
+#include <algorithm>
 #include <new>
 #include <utility>
 
@@ -12,22 +17,62 @@
 
 using ResponderReference = std::shared_ptr<HttpResponder>;
 
-/// Versions as h2o represents them.
+/// Version as h2o represents it.
 constexpr int kHttp11 = 0x101;
-constexpr int kHttp2 = 0x200;
 
 } // namespace
 
 std::shared_ptr<HttpResponder> HttpResponder::create(h2o_req_t* aRequest)
 {
   std::shared_ptr<HttpResponder> responder = std::make_shared<HttpResponder>();
-  responder->mRequest = aRequest;
-  responder->mGenerator = { { onProceed, onStop }, responder.get() };
-  void* reference = h2o_mem_alloc_shared(&aRequest->pool, sizeof(ResponderReference), onDispose);
-  new (reference) ResponderReference(responder);
+  responder->bind(aRequest);
+  return responder;
+}
+
+std::shared_ptr<HttpResponder> HttpResponder::createWaiting(PipelinedConnection& aConnection)
+{
+  std::shared_ptr<HttpResponder> responder = std::make_shared<HttpResponder>();
+  responder->mWaiting = std::make_unique<WaitingResponse>(aConnection);
   return responder;
 }
 
+void HttpResponder::bind(h2o_req_t* aRequest)
+{
+  mRequest = aRequest;
+  mGenerator = { { onProceed, onStop }, this };
+  void* reference = h2o_mem_alloc_shared(&aRequest->pool, sizeof(ResponderReference), onDispose);
+  new (reference) ResponderReference(shared_from_this());
+}
+
+void HttpResponder::attach(h2o_req_t* aRequest)
+{
+  const std::unique_ptr<WaitingResponse> waiting = std::move(mWaiting);
+  bind(aRequest);
+  if (waiting->head()) {
+    sendHead(*waiting->head());
+    flush();
+  }
+  const std::function<void()> onWritable = mOnWritable;
+  if (!mFinished && !mAborted && onWritable) {
+    onWritable();
+  }
+}
+
+void HttpResponder::abandon()
+{
+  const std::shared_ptr<HttpResponder> self = shared_from_this();
+  mWaiting.reset();
+  detach();
+  if (mOnDisposed) {
+    mOnDisposed();
+  }
+}
+
+bool HttpResponder::mayCollect(std::size_t aBytes)
+{
+  return mWaiting == nullptr || mWaiting->hold(aBytes);
+}
+
 void HttpResponder::onProceed(h2o_generator_t* aGenerator, h2o_req_t*)
 {
   reinterpret_cast<Generator*>(aGenerator)->mResponder->proceed();
@@ -62,11 +107,32 @@
 
 void HttpResponder::start(const ResponseHead& aHead)
 {
-  if (mRequest == nullptr || mStarted) {
+  if (mStarted) {
     return;
   }
-  mStarted = true;
-  if (aHead.mCloseAfter) {
+  if (mWaiting != nullptr) {
+    mStarted = true;
+    mWaiting->setHead(aHead);
+  } else if (mRequest != nullptr) {
+    mStarted = true;
+    sendHead(aHead);
+  }
+}
+
+/// \returns false when the connection must not end after this response, because requests behind it
+/// were started.
+bool HttpResponder::mayClose() const
+{
+  if (mRequest->version >= kHttp2) {
+    return true;
+  }
+  const PipelinedConnection* connection = PipelinedConnection::find(socketOf(*mRequest));
+  return connection == nullptr || !connection->hasStartedRequests();
+}
+
+void HttpResponder::sendHead(const ResponseHead& aHead)
+{
+  if (aHead.mCloseAfter && (mMustClose || mayClose())) {
     mRequest->http1_is_persistent = 0;
   }
   mRequest->res.status = aHead.mStatus;
@@ -98,17 +164,21 @@
 
 std::size_t HttpResponder::write(std::string_view aBytes)
 {
-  if (mRequest == nullptr || mFinished || mAborted) {
+  if ((mRequest == nullptr && mWaiting == nullptr) || mFinished || mAborted) {
     return 0;
   }
   mPending.append(aBytes);
+  if (mWaiting != nullptr) {
+    return mWaiting->hold(mPending.size()) ? mPending.size()
+                                           : std::max(mPending.size(), kStreamBufferBytes);
+  }
   flush();
   return mPending.size() + mSending.size();
 }
 
 void HttpResponder::finish()
 {
-  if (mRequest == nullptr || mFinished || mAborted) {
+  if ((mRequest == nullptr && mWaiting == nullptr) || mFinished || mAborted) {
     return;
   }
   mFinished = true;
@@ -117,12 +187,13 @@
 
 void HttpResponder::abort()
 {
-  if (mRequest == nullptr || mFinished || mAborted) {
+  if ((mRequest == nullptr && mWaiting == nullptr) || mFinished || mAborted) {
     return;
   }
   if (!mStarted) {
     // h2o ends a request only with a response. Usually the caller has disconnected and does not
     // read it.
+    mMustClose = true;
     constexpr int kBadGateway = 502;
     start({ kBadGateway, {}, 0, true });
     finish();
@@ -134,18 +205,16 @@
 
 bool HttpResponder::isDisconnected()
 {
+  if (mWaiting != nullptr) {
+    return mWaiting->isDisconnected();
+  }
   if (mRequest == nullptr) {
     return true;
   }
-  h2o_conn_t* connection = mRequest->conn;
-  if (mRequest->version >= 0x200 || connection->callbacks->get_socket == nullptr) {
+  if (mRequest->version >= kHttp2 || mRequest->conn->callbacks->get_socket == nullptr) {
     return false;
   }
-  char byte = 0;
-  const int descriptor = h2o_socket_get_fd(connection->callbacks->get_socket(connection));
-  const ssize_t received = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return received == 0 ||
-         (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+  return isClosedByPeer(h2o_socket_get_fd(socketOf(*mRequest)));
 }
 
 /// h2o sends some bodies without a length until the connection is closed. A reset tells the caller
@@ -164,7 +233,7 @@
 void HttpResponder::flush()
 {
   const bool nothingToSend = mPending.empty() && !mFinished && !mAborted;
-  if (mSendInProgress || !mStarted || nothingToSend) {
+  if (mRequest == nullptr || mSendInProgress || !mStarted || nothingToSend) {
     return;
   }
   mSendInProgress = true;
--- a/bulrushrun/net/HttpResponder.h
+++ b/bulrushrun/net/HttpResponder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bulrushrun/host/Http.h"
+#include "bulrushrun/net/WaitingResponse.h"
 
 #include <h2o.h>
 
@@ -21,6 +22,9 @@
   /// ownership.
   static std::shared_ptr<HttpResponder> create(h2o_req_t* aRequest);
 
+  /// \brief Creates a responder for a request that was started before its turn on the connection.
+  static std::shared_ptr<HttpResponder> createWaiting(PipelinedConnection& aConnection);
+
   HttpResponder() = default;
   HttpResponder(const HttpResponder&) = delete;
   HttpResponder& operator=(const HttpResponder&) = delete;
@@ -38,6 +42,18 @@
   void abort();
   /// \brief \returns true when the caller has closed its connection; checks the socket.
   bool isDisconnected();
+  /// \brief States the size of a response that is still collected elsewhere.
+  /// \returns false when no more should be read for it until mOnWritable, because it waits for its
+  /// turn and too much is held
+  bool mayCollect(std::size_t aBytes);
+
+  /// \brief Sends what has been written so far, and the rest as it is written: it is the turn of
+  /// this response.
+  void attach(h2o_req_t* aRequest);
+  /// \brief Ends a waiting response whose connection is gone.
+  void abandon();
+  /// \brief \returns true when the request is over.
+  bool isOver() const { return mDetached; }
 
   /// \brief Runs when the buffered bytes have been sent.
   std::function<void()> mOnWritable;
@@ -58,12 +74,17 @@
   static void onStop(h2o_generator_t* aGenerator, h2o_req_t* aRequest);
   static void onDispose(void* aReference);
 
+  void bind(h2o_req_t* aRequest);
+  void sendHead(const ResponseHead& aHead);
+  bool mayClose() const;
   void proceed();
   void detach();
   void flush();
   void setResetOnClose(bool aReset);
 
   h2o_req_t* mRequest = nullptr;
+  /// Set until it is the turn of this response.
+  std::unique_ptr<WaitingResponse> mWaiting;
   Generator mGenerator{};
   std::string mPending;
   std::string mSending;
@@ -72,6 +93,8 @@
   bool mFinished = false;
   bool mAborted = false;
   bool mDetached = false;
+  /// The connection ends after this response even if requests behind it were started.
+  bool mMustClose = false;
 };
 
 } // namespace bulrushrun
--- a/bulrushrun/net/HttpServer.cpp
+++ b/bulrushrun/net/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "bulrushrun/net/HttpServer.h"
 
+#include "bulrushrun/net/H2oRequest.h"
 #include "bulrushrun/net/RequestValidation.h"
 #include "bulrushrun/net/Sockets.h"
 
@@ -14,41 +15,18 @@
 namespace {
 
 constexpr std::uint64_t kRequestTimeoutMillis = 10000;
-/// Version as h2o represents it.
-constexpr int kHttp2 = 0x200;
 /// Bounds what one read of a connection brings.
 constexpr int kReceiveBufferBytes = 256 * 1024;
 /// Smaller bodies are copied, which costs less than a loan.
 constexpr std::size_t kMinLentBytes = std::size_t{ 16 } * 1024;
 
-std::string_view toView(const h2o_iovec_t& aVector)
-{
-  return { aVector.base, aVector.len };
-}
-
 /// \returns the raw head of an HTTP/1 request, which is at the start of the socket's input buffer.
 std::string_view rawHead(const h2o_req_t& aRequest)
 {
-  const h2o_socket_t* socket = aRequest.conn->callbacks->get_socket(aRequest.conn);
+  const h2o_socket_t* socket = socketOf(aRequest);
   return { socket->input->bytes, socket->input->size };
 }
 
-/// \returns the request without its body.
-HttpRequest toHttpRequest(const h2o_req_t& aRequest)
-{
-  HttpRequest request;
-  request.mMethod = toView(aRequest.input.method);
-  request.mPath = toView(aRequest.input.path);
-  request.mAuthority = toView(aRequest.input.authority);
-  request.mHeaders.reserve(aRequest.headers.size);
-  for (std::size_t i = 0; i < aRequest.headers.size; ++i) {
-    const h2o_header_t& header = aRequest.headers.entries[i];
-    request.mHeaders.push_back(
-      { std::string{ toView(*header.name) }, std::string{ toView(header.value) } });
-  }
-  return request;
-}
-
 std::optional<RequestError> validateHead(const h2o_req_t& aRequest)
 {
   std::optional<RequestError> error =
@@ -75,6 +53,11 @@
                        std::size_t aMaxBodyBytes)
   : mHandlers(std::move(aHandlers))
   , mInputThrottle(aLoop, mConfiguration, mContext)
+  , mPipeline(mHandlers.mMayRunAhead,
+              [this](HttpRequest aRequest, std::shared_ptr<HttpResponder> aResponder) {
+                countInProgress(*aResponder);
+                mHandlers.mRequest(std::move(aRequest), std::move(aResponder));
+              })
 {
   h2o_config_init(&mConfiguration);
   mConfiguration.server_name = h2o_iovec_init(H2O_STRLIT("bulrushrun"));
@@ -176,10 +159,18 @@
     h2o_send_inline(aRequest, cachedBody->data(), cachedBody->size());
     return 0;
   }
-  std::shared_ptr<HttpResponder> responder = HttpResponder::create(aRequest);
-  ++mInProgress;
-  responder->mOnDisposed = [this] { --mInProgress; };
-  std::optional<RequestError> error = validateHead(*aRequest);
+  const bool isHttp1 = aRequest->version < kHttp2;
+  const PipelineDelivery delivery = isHttp1 ? mPipeline.deliver(aRequest) : PipelineDelivery::New;
+  if (delivery == PipelineDelivery::Attached) {
+    mPipeline.watch(aRequest);
+    return 0;
+  }
+  const std::shared_ptr<HttpResponder> responder = HttpResponder::create(aRequest);
+  countInProgress(*responder);
+  std::optional<RequestError> error =
+    delivery == PipelineDelivery::Mismatched
+      ? RequestError{ 400, "ambiguous request behind another one" }
+      : validateHead(*aRequest);
   if (error) {
     aRequest->http1_is_persistent = 0;
     respond(*responder, requestErrorResponse(*error));
@@ -192,8 +183,17 @@
     return 0;
   }
   request.mBody = takeBody(*aRequest, *responder);
-  mHandlers.mRequest(std::move(request), std::move(responder));
+  mHandlers.mRequest(std::move(request), responder);
+  if (isHttp1 && !responder->isOver()) {
+    mPipeline.watch(aRequest);
+  }
   return 0;
 }
 
+void HttpServer::countInProgress(HttpResponder& aResponder)
+{
+  ++mInProgress;
+  aResponder.mOnDisposed = [this] { --mInProgress; };
+}
+
 } // namespace bulrushrun
--- a/bulrushrun/net/HttpServer.h
+++ b/bulrushrun/net/HttpServer.h
@@ -4,6 +4,7 @@
 #include "bulrushrun/net/EventLoop.h"
 #include "bulrushrun/net/HttpResponder.h"
 #include "bulrushrun/net/InputThrottle.h"
+#include "bulrushrun/net/RequestPipeline.h"
 
 #include <functional>
 #include <memory>
@@ -23,6 +24,9 @@
   /// Large bodies of HTTP/1 requests are lent for the duration of the request, not copied. When the
   /// caller disconnects, the handler must abort the exchanges that send such a body. \sa BytesLoan
   bool mLendsBodies = false;
+  /// Returns true for a request without a body that may run while earlier requests of its
+  /// connection are in progress; empty: none may. \sa RequestPipeline
+  std::function<bool(const HttpRequest&)> mMayRunAhead = {};
 };
 
 /// \brief HTTP/1.1 and HTTP/2 server on one address, built on h2o.
@@ -53,6 +57,9 @@
   /// \brief \returns what bounds the bytes of all requests.
   InputThrottle& inputThrottle() { return mInputThrottle; }
 
+  /// \brief \returns what starts requests ahead of their turn.
+  RequestPipeline& pipeline() { return mPipeline; }
+
   /// \brief \returns the number of requests whose responses have not been sent completely.
   std::size_t requestsInProgress() const { return mInProgress; }
 
@@ -72,6 +79,7 @@
 
   int handle(h2o_req_t* aRequest);
   SharedBytes takeBody(const h2o_req_t& aRequest, HttpResponder& aResponder);
+  void countInProgress(HttpResponder& aResponder);
   void listen(EventLoop& aLoop, Endpoint aEndpoint);
   void closeListener();
 
@@ -80,6 +88,7 @@
   h2o_context_t mContext{};
   h2o_accept_ctx_t mAcceptContext{};
   InputThrottle mInputThrottle;
+  RequestPipeline mPipeline;
   h2o_socket_t* mListener = nullptr;
   std::size_t mInProgress = 0;
 };
--- a/bulrushrun/net/InputThrottle.cpp
+++ b/bulrushrun/net/InputThrottle.cpp
@@ -1,5 +1,7 @@
 #include "bulrushrun/net/InputThrottle.h"
 
+#include "bulrushrun/net/PipelinedConnection.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -11,7 +13,7 @@
     mLoop.cancelTimer(*mTimer);
   }
   for (const auto& [socket, paused] : mPaused) {
-    socket->on_close = {};
+    socket->on_close = paused->mOnClose;
   }
 }
 
@@ -25,7 +27,9 @@
   const std::size_t bytes = socket->input->size;
   throttle.mHeldBytes += bytes;
   // h2o reads from a connection only while a request is incomplete.
-  const bool isReading = socket->_cb.read != nullptr || throttle.mPaused.contains(socket);
+  const bool isReading =
+    (socket->_cb.read != nullptr && !PipelinedConnection::isWatching(socket)) ||
+    throttle.mPaused.contains(socket);
   if (bytes >= kMinPausedBytes && isReading) {
     throttle.mReading.push_back(socket);
   } else if (bytes >= kMinPausedBytes) {
@@ -85,7 +89,7 @@
     return;
   }
   std::unique_ptr<PausedConnection> paused = std::make_unique<PausedConnection>();
-  *paused = { this, aSocket, aSocket->_cb.read };
+  *paused = { this, aSocket, aSocket->_cb.read, aSocket->on_close };
   aSocket->on_close = { onPausedClosed, paused.get() };
   h2o_socket_read_stop(aSocket);
   mPaused.emplace(aSocket, std::move(paused));
@@ -98,15 +102,18 @@
     return;
   }
   const h2o_socket_cb onRead = found->second->mOnRead;
+  aSocket->on_close = found->second->mOnClose;
   mPaused.erase(found);
-  aSocket->on_close = {};
   h2o_socket_read_start(aSocket, onRead);
 }
 
 void InputThrottle::onPausedClosed(void* aConnection)
 {
-  const PausedConnection* paused = static_cast<const PausedConnection*>(aConnection);
-  paused->mThrottle->mPaused.erase(paused->mSocket);
+  const PausedConnection paused = *static_cast<const PausedConnection*>(aConnection);
+  paused.mThrottle->mPaused.erase(paused.mSocket);
+  if (paused.mOnClose.cb != nullptr) {
+    paused.mOnClose.cb(paused.mOnClose.data);
+  }
 }
 
 } // namespace bulrushrun
--- a/bulrushrun/net/InputThrottle.h
+++ b/bulrushrun/net/InputThrottle.h
@@ -67,6 +67,7 @@
     InputThrottle* mThrottle;
     h2o_socket_t* mSocket;
     h2o_socket_cb mOnRead;
+    decltype(h2o_socket_t::on_close) mOnClose;
   };
 
   /// Time between two looks at all connections.
--- a/bulrushrun/net/Sockets.cpp
+++ b/bulrushrun/net/Sockets.cpp
@@ -1,6 +1,7 @@
 #include "bulrushrun/net/Sockets.h"
 
 #include <arpa/inet.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -63,4 +64,10 @@
   return openBoundSocket(SOCK_DGRAM, aEndpoint);
 }
 
+bool isClosedByPeer(int aDescriptor)
+{
+  pollfd state{ aDescriptor, POLLRDHUP, 0 };
+  return ::poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 } // namespace bulrushrun
--- a/bulrushrun/net/Sockets.h
+++ b/bulrushrun/net/Sockets.h
@@ -19,4 +19,8 @@
 /// \throws std::system_error naming the address when it can't be bound
 int openDatagramSocket(const Endpoint& aEndpoint);
 
+/// \brief \returns true when the peer has closed its side of a TCP connection, also with unread
+/// bytes before that.
+bool isClosedByPeer(int aDescriptor);
+
 } // namespace bulrushrun
