Idempotent pipelined requests run at their targets at the same time

A response that the proxy still collects counts as well: HttpResponder::mayCollect stops reading from its target until its turn. RequestPipeline outlives InputThrottle, which gives its close callbacks back to the sockets.

--- a/bulrushrun/net/HttpServer.cpp
+++ b/bulrushrun/net/HttpServer.cpp
@@ -52,12 +52,12 @@
                        HttpHandlers aHandlers,
                        std::size_t aMaxBodyBytes)
   : mHandlers(std::move(aHandlers))
-  , mInputThrottle(aLoop, mConfiguration, mContext)
   , mPipeline(mHandlers.mMayRunAhead,
               [this](HttpRequest aRequest, std::shared_ptr<HttpResponder> aResponder) {
                 countInProgress(*aResponder);
                 mHandlers.mRequest(std::move(aRequest), std::move(aResponder));
               })
+  , mInputThrottle(aLoop, mConfiguration, mContext)
 {
   h2o_config_init(&mConfiguration);
   mConfiguration.server_name = h2o_iovec_init(H2O_STRLIT("bulrushrun"));
--- a/bulrushrun/net/HttpServer.h
+++ b/bulrushrun/net/HttpServer.h
@@ -87,8 +87,9 @@
   h2o_globalconf_t mConfiguration{};
   h2o_context_t mContext{};
   h2o_accept_ctx_t mAcceptContext{};
-  InputThrottle mInputThrottle;
   RequestPipeline mPipeline;
+  /// Destroyed before mPipeline, whose callbacks it gives back to the sockets.
+  InputThrottle mInputThrottle;
   h2o_socket_t* mListener = nullptr;
   std::size_t mInProgress = 0;
 };
--- a/bulrushrun/steering/RequestProxy.h
+++ b/bulrushrun/steering/RequestProxy.h
@@ -77,6 +77,9 @@
   /// \brief Accepts one request.
   /// \param aArrived  when it arrived at the instance; its deadline counts from then
   void accept(HttpRequest aRequest, ResponderPtr aResponder, TimePoint aArrived);
+  /// \brief \returns true for a request without a body that may be attempted while earlier ones of
+  /// its connection are in progress: it is idempotent, and this instance does not drain.
+  bool mayRunAhead(const HttpRequest& aRequest) const;
   /// \brief Ends requests whose callers disconnected, and drops the statistics of unknown targets.
   void sweep();
   /// \brief Ends all requests in progress: a caller learns that its request may have run, or that
--- a/bulrushrun/steering/RequestProxyAdmission.h
+++ b/bulrushrun/steering/RequestProxyAdmission.h
@@ -131,6 +131,20 @@
   apply(id, RequestEvent::Admitted);
 }
 
+/// Any refusal is left to accept(), whose response then waits for its turn.
+template<class HostType, class Codec>
+bool RequestProxy<HostType, Codec>::mayRunAhead(const HttpRequest& aRequest) const
+{
+  if (mSteeringState.mPlan == nullptr || mSteeringState.mDraining ||
+      mSteeringState.mRejectingRequests) {
+    return false;
+  }
+  const std::string_view path = std::string_view{ aRequest.mPath };
+  const Route* route =
+    mSteeringState.mPlan->match(aRequest.mAuthority, path.substr(0, path.find('?')));
+  return route != nullptr && route->mIdempotent;
+}
+
 template<class HostType, class Codec>
 void RequestProxy<HostType, Codec>::setCallerCallbacks(Request& aRequest)
 {
@@ -138,7 +152,7 @@
   aRequest.mResponder->mOnDisconnect = [this, id] { onCallerDisconnected(id); };
   aRequest.mResponder->mOnWritable = [this, id] {
     Request* request = find(id);
-    if (request != nullptr && request->mStreaming && request->mAttempt) {
+    if (request != nullptr && request->mAttempt) {
       mHost.resumeExchange(request->mAttempt->mExchange);
     }
   };
--- a/bulrushrun/steering/RequestProxyExchange.h
+++ b/bulrushrun/steering/RequestProxyExchange.h
@@ -118,8 +118,9 @@
   attempt.mBody.append(aBytes);
   if (attempt.mBody.size() > kMaxBufferedResponseBytes) {
     startStreaming(*request);
+    return request->mResponder->mayCollect(0);
   }
-  return true;
+  return request->mResponder->mayCollect(attempt.mBody.size());
 }
 
 /// Ends an attempt whose response can't be used; the rest of the response is not read.
--- a/bulrushrun/steering/SteeringInstance.h
+++ b/bulrushrun/steering/SteeringInstance.h
@@ -51,6 +51,12 @@
       mStartupRequests.hold(std::move(aRequest), std::move(aResponder));
     }
   }
+  /// \brief \returns true for a request that may run while earlier ones of its connection are in
+  /// progress. \sa RequestProxy::mayRunAhead
+  bool mayRunAhead(const HttpRequest& aRequest) const
+  {
+    return isInitialized() && mProxy.mayRunAhead(aRequest);
+  }
   /// \brief Handles a caller's lookup of instances.
   void handleLookup(const HttpRequest& aRequest, const ResponderPtr& aResponder);
   /// \brief Handles a readiness check of the platform.
@@ -83,6 +89,11 @@
   {
     mOpenResponseCount = std::move(aCount);
   }
+  /// \brief Sets the function that appends the metrics of the caller's connections.
+  void setConnectionMetrics(std::function<void(std::string&)> aRender)
+  {
+    mConnectionMetrics = std::move(aRender);
+  }
   /// \brief Sets the callback for changed limits on callers.
   void setOnLimits(std::function<void(const CallerLimits&)> aOnLimits)
   {
@@ -221,6 +232,7 @@
   std::function<void(const CallerLimits&)> mOnLimits;
   std::function<void()> mOnAcceptingEnded;
   std::function<std::size_t()> mOpenResponseCount;
+  std::function<void(std::string&)> mConnectionMetrics;
   bool mReadyLogged = false;
   bool mReplicationStarted = false;
 };
--- a/bulrushrun/steering/SteeringInstanceService.h
+++ b/bulrushrun/steering/SteeringInstanceService.h
@@ -194,6 +194,9 @@
           mPlacementArchive.storeCalls());
   mProxy.metrics().render(text);
   mProxy.regionShares().render(text);
+  if (mConnectionMetrics) {
+    mConnectionMetrics(text);
+  }
   return text;
 }
 
--- a/bulrushrun/steering/tests/FleetSimulation.h
+++ b/bulrushrun/steering/tests/FleetSimulation.h
@@ -27,6 +27,7 @@
   void finish() { end(true); }
   void abort() { end(false); }
   bool isDisconnected() { return mDisconnected; }
+  static bool mayCollect(std::size_t) { return true; }
 
   std::function<void()> mOnWritable;
   std::function<void()> mOnDisconnect;
--- a/bulrushrun/steering/tests/SocketProxyFixture.h
+++ b/bulrushrun/steering/tests/SocketProxyFixture.h
@@ -31,7 +31,8 @@
                 [this](HttpRequest aRequest, std::shared_ptr<HttpResponder> aResponder) {
                   mProxy->accept(std::move(aRequest), std::move(aResponder), EventLoop::now());
                 },
-                true })
+                true,
+                [this](const HttpRequest& aRequest) { return mProxy->mayRunAhead(aRequest); } })
   {
     // As the daemon does.
     std::signal(SIGPIPE, SIG_IGN);
@@ -107,6 +108,8 @@
     mServer.setLimits(aIdle, aBytes);
   }
   void sweepProxy() { mProxy->sweep(); }
+  void setDraining() { mState->mDraining = true; }
+  EventLoop& loop() { return mLoop; }
   /// \returns a configuration with one route.
   static std::string plan(const std::string& aKind, int aMaxAttempts = 1)
   {
--- a/daemon/platform_main.cpp
+++ b/daemon/platform_main.cpp
@@ -18,6 +18,8 @@
 /// over 3/8, callers' connections are not read, except for what fits into half of it.
 constexpr std::size_t kBodyMemoryDivisor = 8;
 constexpr std::size_t kBodiesInBudget = 3;
+/// Responses that wait for their turn on their connections may take 1/16 of the instance's memory.
+constexpr std::size_t kWaitingResponsesDivisor = 16;
 /// Requests of other servers than that of the callers have no bodies.
 constexpr std::size_t kMaxControlBodyBytes = std::size_t{ 16 } * 1024;
 
@@ -115,9 +117,16 @@
                   [&](HttpRequest aRequest, std::shared_ptr<HttpResponder> aResponder) {
                     instance->handleCaller(std::move(aRequest), std::move(aResponder));
                   },
-                  true },
+                  true,
+                  [&](const HttpRequest& aRequest) { return instance->mayRunAhead(aRequest); } },
     maxBodyBytes);
   limitInput(loop, host, callerServer->inputThrottle(), maxBodyBytes);
+  RequestPipeline& pipeline = callerServer->pipeline();
+  pipeline.setProcessLimit(aSettings.mMemoryMegabytes * 1024 * 1024 / kWaitingResponsesDivisor);
+  pipeline.setOnEvent(
+    [&host](const Event& aEvent, const std::string& aText) { host.log(aEvent, aText); });
+  instance->setConnectionMetrics(
+    [&pipeline](std::string& aText) { pipeline.renderMetrics(aText); });
   const auto makeServer = [&loop](const Endpoint& aEndpoint, RequestHandler aHandler) {
     return std::make_unique<HttpServer>(
       loop, aEndpoint, HttpHandlers{ nullptr, std::move(aHandler) }, kMaxControlBodyBytes);
