--- a/soak/Callers.cpp
+++ b/soak/Callers.cpp
@@ -13,6 +13,8 @@
 constexpr Duration kLookupTimeout = std::chrono::milliseconds(500);
 constexpr int kAffinityKeys = 40;
 constexpr double kSlowProbability = 0.05;
+constexpr double kBurstProbability = 0.03;
+constexpr std::size_t kMaxBurst = 6;
 
 } // namespace
 
@@ -24,6 +26,7 @@
   , mChecker(aChecker)
   , mInstances(std::move(aInstances))
   , mRandom(aRandom)
+  , mBurstRandom(aRandom.next())
   , mClient(aLoop)
 {
 }
@@ -84,6 +87,9 @@
     sendSlow(mUsableInstances[mRandom.below(mUsableInstances.size())]);
     return;
   }
+  if (mBurstRandom.chance(kBurstProbability)) {
+    sendPipelined(mUsableInstances[mBurstRandom.below(mUsableInstances.size())]);
+  }
   Attempt attempt;
   HttpRequest request;
   const double kind = mRandom.unit();
@@ -106,6 +112,67 @@
   send(aInstance, std::move(attempt), { "POST", "/slow/x", {}, "an order" });
 }
 
+/// Sends idempotent requests, some of which have large responses, on one connection at once.
+void Callers::sendPipelined(std::size_t aInstance)
+{
+  std::vector<std::string> ids;
+  std::vector<HttpRequest> requests;
+  for (std::size_t i = 2 + mBurstRandom.below(kMaxBurst - 1); i > 0; --i) {
+    Attempt attempt;
+    attempt.mInstance = aInstance;
+    attempt.mSent = EventLoop::now();
+    attempt.mTimeLimit = kRouteTimeout;
+    attempt.mLarge = mBurstRandom.chance(0.1);
+    ids.push_back(mBurstRandom.token());
+    requests.push_back({ "GET",
+                         attempt.mLarge ? "/files/large" : "/read/x",
+                         { { "X-Affinity-Key", std::to_string(mBurstRandom.below(kAffinityKeys)) },
+                           { "X-Request-Id", ids.back() },
+                           { "X-Request-Timeout-Ms", std::to_string(toMillis(kCallerTimeout)) } },
+                         {},
+                         "shop" });
+    mChecker.onSent(ids.back(), std::move(attempt));
+  }
+  const std::string first = ids.front();
+  mBursts[first] = std::make_unique<PipelinedBurst>(
+    mLoop,
+    mInstances[aInstance].mProxy,
+    requests,
+    [this, ids](std::size_t aPosition, const ResponseHead& aHead, const std::string& aBody) {
+      Attempt& attempt = *mChecker.find(ids[aPosition]);
+      attempt.mHead = aHead;
+      attempt.mBody = aBody;
+      attempt.mEnd = ExchangeResult::Complete;
+      mChecker.onEnded(ids[aPosition], EventLoop::now());
+    },
+    [this, ids](std::size_t aResponses) { endBurst(ids, aResponses, false); });
+  mLoop.after(kCallerTimeout, [this, ids] {
+    const auto burst = mBursts.find(ids.front());
+    if (burst != mBursts.end()) {
+      burst->second->close();
+      endBurst(ids, 0, true);
+    }
+  });
+}
+
+/// \param aResponses  number of responses that arrived; those without one are interrupted, or
+/// abandoned by the caller
+void Callers::endBurst(const std::vector<std::string>& aIds,
+                       std::size_t aResponses,
+                       bool aAbandoned)
+{
+  for (std::size_t i = aResponses; i < aIds.size(); ++i) {
+    Attempt& attempt = *mChecker.find(aIds[i]);
+    if (!attempt.mEnd && aAbandoned) {
+      attempt.mAbandoned = true;
+    } else if (!attempt.mEnd) {
+      attempt.mEnd = ExchangeResult::Interrupted;
+      mChecker.onEnded(aIds[i], EventLoop::now());
+    }
+  }
+  mLoop.after(Duration{ 0 }, [this, first = aIds.front()] { mBursts.erase(first); });
+}
+
 void Callers::probe(std::size_t aInstance)
 {
   Attempt attempt;
--- a/soak/Callers.h
+++ b/soak/Callers.h
@@ -2,9 +2,11 @@
 
 #include "bulrushrun/net.h"
 #include "soak/InvariantChecker.h"
+#include "soak/PipelinedBurst.h"
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -47,16 +49,22 @@
   void scheduleNext();
   void send(std::size_t aInstance, Attempt aAttempt, HttpRequest aRequest);
   void sendSlow(std::size_t aInstance);
+  void sendPipelined(std::size_t aInstance);
+  void endBurst(const std::vector<std::string>& aIds, std::size_t aResponses, bool aAbandoned);
   void abandon(const std::string& aId);
 
   EventLoop& mLoop;
   InvariantChecker& mChecker;
   std::vector<CallerAddress> mInstances;
   Random mRandom;
+  /// Of its own, so that the other callers of a seed stay the same.
+  Random mBurstRandom;
   HttpClient mClient;
   /// Indices of the instances in the last lookup response.
   std::vector<std::size_t> mUsableInstances;
   std::map<std::string, ExchangeId> mExchanges;
+  /// Bursts of pipelined requests, by the id of the first one.
+  std::map<std::string, std::unique_ptr<PipelinedBurst>> mBursts;
   double mRequestRate = 0;
   bool mStopped = false;
 };
