--- a/bulrushrun/steering/SteeringInstanceService.h
+++ b/bulrushrun/steering/SteeringInstanceService.h
@@ -204,6 +204,9 @@
   mProxy.customerMetrics().render(text);
   mProxy.regionShares().render(text);
   mQuotaGate.render(text);
+  if (mConnectionMetrics) {
+    mConnectionMetrics(text);
+  }
   return text;
 }
 
