Peers that lack the table of a newer epoch are asked at intervals

Cause: an instance that knows of a rise but can't read the store asks for a whole table of the newer epoch. A response of a peer that has none counted as usable, since it was compared with the instance's own older table, and the next request followed without a pause. Change: the response is compared with the epoch that was requested.

--- a/bulrushrun/steering/tests/OlderStoreTest.cpp
+++ b/bulrushrun/steering/tests/OlderStoreTest.cpp
@@ -132,14 +132,17 @@
   EXPECT_TRUE(hasLogged("n2", "plan-adopted version=2"));
 }
 
-/// Guards against a fleet that gives up its tables because the store fails while they are read.
+/// Guards against a fleet that gives up its tables because the store fails while they are read, and
+/// against peers that ask each other without a pause for tables that none of them has.
 TEST_F(OlderStoreTest, KeepsTheTablesWhileTheStoreFailsDuringTheReading)
 {
   makeCopy();
   mSimulation.mStore.restore(kSecond);
   mSimulation.run(std::chrono::milliseconds(3));
   mSimulation.mStore.setErrorStatus(503);
+  const std::size_t bytesBefore = mSimulation.mPeerReplicationBytes;
   mSimulation.run(2 * kBound);
+  EXPECT_LT(mSimulation.mPeerReplicationBytes - bytesBefore, 14000U);
   const std::shared_ptr<RecordingResponder> responder = mSimulation.sendRequest("n1", "id-1");
   EXPECT_EQ(mSimulation.targetExchanges().size(), 1U);
   mSimulation.mStore.setErrorStatus(std::nullopt);
--- a/bulrushrun/store/PeerReplicator.h
+++ b/bulrushrun/store/PeerReplicator.h
@@ -207,9 +207,8 @@
                   " bytes=" + std::to_string(aResponse.mBody.size()) +
                   " ms=" + std::to_string(toMillis(mHost.now() - mRequestedAt)));
     }
-    mLastResponseUnusable =
-      !changes || changes->mStaleness > mPeriod + kTransferAllowance ||
-      isOfOlderEpoch(changes->mProgress, mCallbacks.mLocalProgress().mProgress);
+    mLastResponseUnusable = !changes || changes->mStaleness > mPeriod + kTransferAllowance ||
+                            isOfOlderEpoch(changes->mProgress, mRequestedProgress);
     if (changes) {
       // The responder measured its staleness when it sent the response. All of the time for which
       // it is not known to have held the request may have passed since.
