--- a/bulrushrun/steering/RequestProxy.h
+++ b/bulrushrun/steering/RequestProxy.h
@@ -60,8 +60,8 @@
 /// instances. The RequestStateMachine decides what may be done with a request, the TargetPicker
 /// where it is sent.
 ///
-/// \tparam Codec  header codec with parseRequestMetadata, parseResponseMetadata,
-/// removeTargetHeaders and setForwardingHeaders
+/// \tparam Codec  header codec with parseRequestMetadata, parsePresentedKey, keyChallengeHeaders,
+/// parseResponseMetadata, removeTargetHeaders, setForwardingHeaders and setCustomerHeaders
 template<class HostType, class Codec>
 class RequestProxy
 {
@@ -87,6 +87,7 @@
   std::size_t requestsInProgress() const { return mRequests.size(); }
   const RequestProxyCounters& counters() const { return mCounters; }
   const ServiceMetrics& metrics() const { return mMetrics; }
+  const CustomerMetrics& customerMetrics() const { return mCustomerMetrics; }
   const RegionShares& regionShares() const { return mRegionShares; }
   /// \brief Sets the callback for responses that show that a target is leaving, was replaced or is
   /// cold.
@@ -151,6 +152,7 @@
   static constexpr int kUnresponsiveLatencyFactor = 4;
   static constexpr int kUnresponsiveTargetFactor = 2;
   static constexpr Duration kMinUnresponsiveAfter = std::chrono::milliseconds(800);
+  static constexpr int kUnauthorized = 401;
   static constexpr const char* kShuttingDownText =
     "this instance is shutting down; use another one";
   /// The rest of a target is prolonged by a random part of up to this fraction, so that the
@@ -158,11 +160,17 @@
   static constexpr double kMaxRestSpread = 0.1;
   /// Interval at which the regions to which requests were sent are logged.
   static constexpr Duration kShareLogPeriod = std::chrono::seconds(1);
+  /// Interval at which the customers that have metrics of their own are chosen.
+  static constexpr Duration kRankingPeriod = std::chrono::seconds(5);
   /// Time that must remain for a retry, as a fraction of the smoothed latency.
   static constexpr double kMinRetryTimeShare = 0.5;
 
   // Admission.
-  void refuseBeforeAdmission(ResponderType& aResponder, int aStatus, const std::string& aText);
+  void refuseBeforeAdmission(ResponderType& aResponder,
+                             int aStatus,
+                             const std::string& aText,
+                             Headers aHeaders = {},
+                             const std::string& aLogFields = {});
   bool canEndBeforeExit(const Route& aRoute, TimePoint aDeadline) const;
   TimePoint responseDue(const Request& aRequest) const;
   void recordRunTime(const Request& aRequest, Duration aElapsed);
@@ -172,6 +180,21 @@
   void onCallerDisconnected(RequestId aId);
   bool endIfCallerLeft(Request& aRequest);
 
+  // Customers.
+  CallerIdentification identify(const HttpRequest& aRequest, const Route& aRoute) const;
+  void refuseKey(ResponderType& aResponder,
+                 KeyRefusal aRefusal,
+                 const Route& aRoute,
+                 const RequestMetadata& aMetadata);
+  static std::string keyRefusalText(KeyRefusal aRefusal);
+  void setIdentity(Request& aRequest,
+                   const CallerIdentification& aCaller,
+                   const Route& aRoute) const;
+  const Route& routeInForce(const Request& aRequest) const;
+  bool refreshIdentity(Request& aRequest);
+  void respondKeyRefused(Request& aRequest);
+  void updateCustomerMetrics();
+  static std::string identityText(const Request& aRequest);
   // Quotas.
   void admitWithinQuota(Request& aRequest);
   void onQuotaDecision(RequestId aId, const QuotaAnswer& aAnswer);
@@ -192,7 +215,6 @@
                          int aStatus,
                          Headers aHeaders,
                          const std::string& aText);
-  static std::string homeRegionText(const Request& aRequest);
   void finish(Request& aRequest, const char* aOutcome, int aStatus);
 
   // Attempts at targets.
@@ -222,7 +244,6 @@
   static bool isSuccess(int aStatus) { return aStatus >= 200 && aStatus < 300; }
 
   Request* find(RequestId aId);
-  const std::vector<RegionName>& homeRegions(const Request& aRequest) const;
   PickQuery makePickQuery(const Request& aRequest) const;
   std::string retryAfter(const Request& aRequest);
   Duration smoothedLatency(const ServiceName& aService) const;
@@ -245,6 +266,10 @@
   std::function<void(const TargetRate&)> mOnTargetRate;
   RequestProxyCounters mCounters;
   ServiceMetrics mMetrics;
+  CustomerMetrics mCustomerMetrics;
+  /// Version whose customers the metrics have.
+  ConfigurationVersion mMetricsVersion;
+  TimePoint mCustomersRankedAt;
   RegionShares mRegionShares;
   TimePoint mSharesLoggedAt;
   RequestId mLastId;
@@ -254,6 +279,8 @@
 
 // Definitions of the member functions: admission.
 #include "bulrushrun/steering/RequestProxyAdmission.h"
+// Customers.
+#include "bulrushrun/steering/RequestProxyIdentity.h"
 // Admission within quotas.
 #include "bulrushrun/steering/RequestProxyQuota.h"
 // Actions of the state machine.
--- a/bulrushrun/steering/RequestProxyQuota.h
+++ b/bulrushrun/steering/RequestProxyQuota.h
@@ -13,12 +13,9 @@
 {
   QuotaAnswer answer;
   if (mQuotaGate != nullptr && aRequest.mCustomer != nullptr) {
-    const Route& route = *aRequest.mRoute;
-    answer = mQuotaGate->admit(aRequest.mCustomer->mName,
-                               { aRequest.mId,
-                                 aRequest.mCustomer->mPriority.value_or(route.mPriority),
-                                 route.mLatencyTarget,
-                                 aRequest.mDeadline });
+    answer = mQuotaGate->admit(
+      aRequest.mCustomer->mName,
+      { aRequest.mId, aRequest.mPriority, aRequest.mRoute->mLatencyTarget, aRequest.mDeadline });
   }
   switch (answer.mDecision) {
     case QuotaDecision::Admitted:
--- a/bulrushrun/steering/SteeringInstanceService.h
+++ b/bulrushrun/steering/SteeringInstanceService.h
@@ -194,6 +194,7 @@
           "Calls to the store that save placements of objects.",
           mPlacementArchive.storeCalls());
   mProxy.metrics().render(text);
+  mProxy.customerMetrics().render(text);
   mProxy.regionShares().render(text);
   mQuotaGate.render(text);
   return text;
