--- a/bulrushrun/steering/RequestProxy.h
+++ b/bulrushrun/steering/RequestProxy.h
@@ -132,6 +132,8 @@
   static constexpr int kMaxConnectFailures = 3;
   /// Timeout of a request that sets none.
   static constexpr Duration kDefaultTimeout = std::chrono::seconds(10);
+  /// Status of the response to a request whose key is refused.
+  static constexpr int kUnauthorized = 401;
   /// Bounds of Retry-After, which is the smoothed latency with jitter, so that callers do not
   /// return together. While all targets rest, it comes on top of the remaining rest.
   static constexpr Duration kMinRetryAfter = std::chrono::milliseconds(100);
@@ -142,7 +144,6 @@
   static constexpr int kUnresponsiveLatencyFactor = 4;
   static constexpr int kUnresponsiveTargetFactor = 2;
   static constexpr Duration kMinUnresponsiveAfter = std::chrono::milliseconds(800);
-  static constexpr int kUnauthorized = 401;
   static constexpr const char* kShuttingDownText =
     "this instance is shutting down; use another one";
   /// The rest of a target is prolonged by a random part of up to this fraction, so that the
--- a/bulrushrun/steering/SteeringInstanceRows.h
+++ b/bulrushrun/steering/SteeringInstanceRows.h
@@ -62,7 +62,11 @@
   mHost.log(events::kPlanAdopted,
             "version=" + std::to_string(plan->mVersion.value()) +
               " routes=" + std::to_string(plan->mRoutes.size()) +
-              " home_routes=" + std::to_string(plan->homeRouteCount()));
+              " home_routes=" + std::to_string(plan->homeRouteCount()) +
+              (plan->mCustomers
+                 ? " customers=" + std::to_string(plan->mCustomers->customers().size()) +
+                     " keys=" + std::to_string(plan->mCustomers->keyCount())
+                 : ""));
   mSteeringState.mPlan = std::make_shared<const RoutePlan>(std::move(*plan));
   if (mOnLimits) {
     mOnLimits(mSteeringState.mPlan->mLimits);
--- a/bulrushrun/steering/tests/CustomerKeysTest.cpp
+++ b/bulrushrun/steering/tests/CustomerKeysTest.cpp
@@ -107,6 +107,7 @@
 TEST_F(CustomerKeysTest, UnusableKeysAreRefusedAndLoggedWithTheirReason)
 {
   putPlan();
+  EXPECT_TRUE(logContains("plan-adopted version=1 routes=1 home_routes=0 customers=2 keys=2"));
   EXPECT_EQ(immediateStatus(mAcme), 0);
   EXPECT_EQ(immediateStatus({}), 401);
   EXPECT_TRUE(logContains("request-refused id=id-2 route=r1 version=1 status=401 "
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -15,7 +15,7 @@
 # except in stand-ins and tests.
 names='X-(Request-Id|Request-Timeout-Ms|Target-Instance|Not-Executed|Response-Signature|Affinity-Key'
 names="$names|Server-(Load|Leaving|Limit)|Instance-Id|Cold-Remaining)|pathPrefix|rows-(tx|get|feed|parts)|blob-(put|get|drop|list)"
-names="$names|coldRemainingMs|targetLatencyMs|trafficSplit"
+names="$names|coldRemainingMs|targetLatencyMs|trafficSplit|X-Tenant-Id|apiKeys|ratePerS"
 leaks=$(git grep -nE "$names" -- '*.h' '*.cpp' ':!platform/' ':!standins/' ':!soak/' ':!ctl/tests/' | grep -v '/tests/' || true)
 if [ -n "$leaks" ]; then
   echo "names of the platform's protocol are used outside platform/:"
