--- a/bulrushrun/quotas/OwnAccrual.h
+++ b/bulrushrun/quotas/OwnAccrual.h
@@ -46,7 +46,7 @@
     } else {
       mTokens = accrued;
     }
-    const bool isValid = mHasToken && aNow - mCreatedAt < QuotaTiming::kDirectLifetime;
+    const bool isValid = mHasToken && aNow - mCreatedAt < QuotaTiming::kReuseTime;
     mHasToken = false;
     return isValid;
   }
--- a/bulrushrun/quotas/QuotaCoordinator.h
+++ b/bulrushrun/quotas/QuotaCoordinator.h
@@ -55,7 +55,7 @@
   static constexpr double kMaxPending = 0.25;
   /// Part of the overage that is used as capacity; the rest covers tokens that are not accounted
   /// for.
-  static constexpr double kOverageAsCapacity = 0.3;
+  static constexpr double kOverageAsCapacity = 0.2;
   /// Part of the share by which it may decrease without effect on pools that are not in use.
   static constexpr double kMaxShareLoss = 0.05;
   static constexpr Duration kSweepPeriod = std::chrono::milliseconds(250);
--- a/bulrushrun/quotas/QuotaHolder.cpp
+++ b/bulrushrun/quotas/QuotaHolder.cpp
@@ -107,7 +107,7 @@
 
 void QuotaHolder::giveBack(LimitId aLimit, TimePoint aTakenAt, TimePoint aNow)
 {
-  const TimePoint expires = aTakenAt + QuotaTiming::kDirectLifetime;
+  const TimePoint expires = aTakenAt + QuotaTiming::kReuseTime;
   if (mLimits->find(aLimit) != nullptr && expires > aNow) {
     account(aLimit).mTokens.giveBack(expires);
     ++mCounters.mGivenBack;
--- a/bulrushrun/quotas/QuotaTiming.h
+++ b/bulrushrun/quotas/QuotaTiming.h
@@ -26,10 +26,13 @@
   /// Time after the longest lifetime within which the coordinator learns what became of a token;
   /// afterwards the token is lost.
   static constexpr Duration kSettleTime = std::chrono::seconds(1);
-  /// Validity of tokens for waiting requests, of tokens given back by requests that were not
-  /// executed, and of own tokens smaller than one. Tokens created before a window and used in it
-  /// are at most those of these times, because the coordinator does not account for them.
-  static constexpr Duration kDirectLifetime = std::chrono::milliseconds(200);
+  /// Validity of tokens for waiting requests, from the report that asked for them; as long as a
+  /// request may wait. The coordinator does not account for them, so the tokens created before a
+  /// window and used in it are at most those of this time.
+  static constexpr Duration kDirectLifetime = std::chrono::milliseconds(300);
+  /// Validity of tokens given back by requests that were not executed, and of own tokens where the
+  /// own part of the burst is less than one.
+  static constexpr Duration kReuseTime = std::chrono::milliseconds(200);
 
   /// \brief \returns the interval between reports of an instance with demand.
   static Duration reportPeriod(std::size_t aInstances)
