--- a/bulrushrun/steering/tests/CustomerQuotaTest.cpp
+++ b/bulrushrun/steering/tests/CustomerQuotaTest.cpp
@@ -43,7 +43,16 @@
     return nullptr;
   }
 
+  void respondToAll()
+  {
+    for (const ExchangeId exchange : mSimulation.targetExchanges()) {
+      mSimulation.respondOk(exchange);
+      ++mExecuted;
+    }
+  }
+
   FleetSimulation mSimulation;
+  std::size_t mExecuted = 0;
   std::string mWaitingAt;
   int mRequests = 0;
 };
@@ -56,8 +65,11 @@
   for (int i = 0; i < 100; ++i) {
     callers.push_back(send(i % 2 == 0 ? "n1" : "n2", "key-a"));
     mSimulation.run(std::chrono::milliseconds(40));
+    respondToAll();
   }
-  const std::size_t executed = mSimulation.targetExchanges().size();
+  mSimulation.run(std::chrono::milliseconds(400));
+  respondToAll();
+  const std::size_t executed = mExecuted;
   const double seconds = toSeconds(mSimulation.now() - begin);
   EXPECT_LE(static_cast<double>(executed), (5 * seconds + 5) * 1.1 + 20);
   EXPECT_GE(static_cast<double>(executed), 5 * seconds * 0.8);
@@ -70,7 +82,7 @@
   }
   EXPECT_EQ(refused, callers.size() - executed);
   send("n1", "key-b");
-  EXPECT_EQ(mSimulation.targetExchanges().size(), executed + 1);
+  EXPECT_EQ(mSimulation.targetExchanges().size(), 1U);
 }
 
 /// Guards against requests that are sent to a target after their caller has left.
