Requests compete for scarce capacity by priority and expected completion

Objects of busy targets ran cold at others, which takes three times as long and evicts other objects.

Change: where routes of one service have different priorities, or the route plan names customers, the choice of a target considers the expected completion (learned medians of warm and cold executions, and the queue) and a queue limit by priority. Targets at which a request is in time come first; a request that no target can complete before its deadline is refused at once; other targets than the one that keeps the object take requests only when nearly idle, and while few targets are full. Retry-After is the expected time until there is room, spread at random, at most a quarter of the remaining time. Callers that repeat before that time have the least urgent limits.

--- a/bench/PickBench.cpp
+++ b/bench/PickBench.cpp
@@ -3,6 +3,7 @@
 #include <benchmark/benchmark.h>
 
 #include <map>
+#include <optional>
 #include <string>
 
 /// \file
@@ -11,9 +12,21 @@
 namespace bulrushrun {
 namespace {
 
+/// Terms of a request of the least urgent of three priorities.
+AdmissionTerms leastUrgentTerms()
+{
+  constexpr Duration kExecution = std::chrono::milliseconds(200);
+  return { { 2, 3 },
+           { kExecution, 3 * kExecution, kExecution },
+           std::chrono::milliseconds(400),
+           std::chrono::milliseconds(2500) };
+}
+
 /// Picks by affinity key among targets of three slots in six zones of three regions, including the
 /// listing of the usable targets, as for each attempt.
-void pickByKey(benchmark::State& aState)
+/// \param aTerms  for requests that compete by priority
+/// \param aLoad  requests in progress at each target
+void pick(benchmark::State& aState, const std::optional<AdmissionTerms>& aTerms, int aLoad)
 {
   constexpr int kZones = 6;
   constexpr std::uint64_t kKeys = 1000;
@@ -34,16 +47,46 @@
   PickContext context;
   context.mZones = ZoneTopology{ ZoneName{ "z0" }, regions };
   TargetPicker picker;
+  for (std::int64_t i = 0; i < aState.range(0); ++i) {
+    for (int request = 0; request < aLoad; ++request) {
+      picker.stats(TargetId{ "t" + std::to_string(i) }).onAttemptStarted(now);
+    }
+  }
   std::uint64_t key = 0;
   for (auto iteration : aState) {
     PickQuery query;
     query.mAffinity = Affinity::Key;
     query.mAffinityKey = mixBits(key++ % kKeys);
+    query.mTerms = aTerms;
     benchmark::DoNotOptimize(
       picker.pick(query, table.usable(ServiceName{ "s" }, now), context, now));
   }
 }
-BENCHMARK(pickByKey)->Arg(12)->Arg(132)->Arg(717);
+
+void pickByKey(benchmark::State& aState)
+{
+  pick(aState, std::nullopt, 0);
+}
+BENCHMARK(pickByKey)->Arg(12)->Arg(132)->Arg(266)->Arg(717);
+
+/// All targets are full: every candidate is considered.
+void pickWhileBusy(benchmark::State& aState)
+{
+  pick(aState, std::nullopt, 9);
+}
+BENCHMARK(pickWhileBusy)->Arg(266);
+
+void competeByKey(benchmark::State& aState)
+{
+  pick(aState, leastUrgentTerms(), 0);
+}
+BENCHMARK(competeByKey)->Arg(12)->Arg(132)->Arg(266)->Arg(717);
+
+void competeWhileBusy(benchmark::State& aState)
+{
+  pick(aState, leastUrgentTerms(), 9);
+}
+BENCHMARK(competeWhileBusy)->Arg(266);
 
 } // namespace
 } // namespace bulrushrun
--- a/bulrushrun/steering.h
+++ b/bulrushrun/steering.h
@@ -9,9 +9,17 @@
 #include "bulrushrun/steering/SteeringSettings.h"
 // Selection of targets; no I/O.
 #include "bulrushrun/steering/ObjectPlacer.h"
+// Requests that compete by priority for scarce capacity; no I/O.
+#include "bulrushrun/steering/AdmissionTerms.h"
+#include "bulrushrun/steering/CompletionEstimate.h"
+#include "bulrushrun/steering/EarlyRepeats.h"
+#include "bulrushrun/steering/MedianEstimate.h"
 #include "bulrushrun/steering/PickQuery.h"
+#include "bulrushrun/steering/QueueLimit.h"
 #include "bulrushrun/steering/RegionChoice.h"
 #include "bulrushrun/steering/RegionShares.h"
+#include "bulrushrun/steering/ReturnTime.h"
+#include "bulrushrun/steering/ServicePriorities.h"
 #include "bulrushrun/steering/TargetPicker.h"
 #include "bulrushrun/steering/TargetStats.h"
 // Loads of targets, shared between instances.
--- /dev/null
+++ b/bulrushrun/steering/AdmissionTerms.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "bulrushrun/steering/CompletionEstimate.h"
+#include "bulrushrun/steering/QueueLimit.h"
+
+namespace bulrushrun {
+
+/// \brief Terms under which a request competes with others for scarce capacity.
+struct AdmissionTerms
+{
+  PriorityLevel mLevel;
+  ExecutionTimes mTimes;
+  /// Time that is left to the latency target; negative when it has passed.
+  Duration mToLatencyTarget{ 0 };
+  Duration mToDeadline{ 0 };
+  /// The caller repeats a refused request before the time that it was told.
+  bool mIsEarlyRepeat = false;
+};
+
+/// \brief What is expected of one target for one request.
+struct CompletionOutlook
+{
+  Duration mExpected{ 0 };
+  bool mIsInTime = true;
+  bool mIsBeforeDeadline = true;
+};
+
+/// \brief \returns what is expected of a target with this load.
+inline CompletionOutlook outlookAt(const AdmissionTerms& aTerms,
+                                   double aLoad,
+                                   int aSlots,
+                                   bool aIsWarm)
+{
+  const Duration expected = expectedCompletion(aLoad, aSlots, aIsWarm, aTerms.mTimes);
+  return { expected, expected <= aTerms.mToLatencyTarget, expected <= aTerms.mToDeadline };
+}
+
+/// \brief \returns the limits for a request; those of early repeats are the least urgent ones.
+inline QueueLimit queueLimit(const AdmissionTerms& aTerms)
+{
+  const int levels = aTerms.mLevel.mLevels;
+  return QueueLimit{ aTerms.mIsEarlyRepeat ? PriorityLevel{ levels - 1, levels } : aTerms.mLevel };
+}
+
+} // namespace bulrushrun
--- a/bulrushrun/steering/PickQuery.h
+++ b/bulrushrun/steering/PickQuery.h
@@ -3,7 +3,9 @@
 #include "bulrushrun/discovery.h"
 #include "bulrushrun/limits/TargetQuota.h"
 #include "bulrushrun/routing/ZoneTopology.h"
+#include "bulrushrun/steering/AdmissionTerms.h"
 
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -36,6 +38,8 @@
   Duration mColdStartDuration{ 0 };
   /// A target with requests in progress that did not respond for this long is avoided.
   Duration mUnresponsiveAfter = Duration::max();
+  /// Terms of the competition for scarce capacity; empty where requests do not compete by priority.
+  std::optional<AdmissionTerms> mTerms;
 };
 
 /// \brief State that all choices of this instance share.
--- a/bulrushrun/steering/ProxiedRequest.h
+++ b/bulrushrun/steering/ProxiedRequest.h
@@ -4,6 +4,7 @@
 #include "bulrushrun/host.h"
 #include "bulrushrun/routing/RoutePlan.h"
 #include "bulrushrun/steering/MessageMetadata.h"
+#include "bulrushrun/steering/TargetPicker.h"
 
 #include <memory>
 #include <set>
@@ -69,6 +70,17 @@
   std::size_t mRateLimited = 0;
   double mLoad = 0;
   std::size_t mPreferenceRank = 0;
+  /// Rank of its priority; empty where requests do not compete by priority.
+  std::optional<PriorityLevel> mLevel;
+  /// Its caller repeats a refused request before the time that it was told.
+  bool mIsEarlyRepeat = false;
+  /// Results of the last choice for a request that competes: expected time to the response, time
+  /// until there is room, whether the target has the object's data, and its slots.
+  std::optional<Duration> mExpected;
+  std::optional<Duration> mUntilRoom;
+  bool mIsWarm = true;
+  int mSlots = 0;
+  PickFailure mPickFailure = PickFailure::None;
   /// Why the last attempt failed or none was made, for the log.
   std::string mReason;
   TimerId mDeadlineTimer;
--- a/bulrushrun/steering/RequestProxy.h
+++ b/bulrushrun/steering/RequestProxy.h
@@ -1,10 +1,14 @@
 #pragma once
 
 #include "bulrushrun/limits/RetryBudgetShare.h"
+#include "bulrushrun/metrics/AdmissionMetrics.h"
 #include "bulrushrun/metrics/ServiceMetrics.h"
+#include "bulrushrun/steering/EarlyRepeats.h"
 #include "bulrushrun/steering/LoadReportMessage.h"
 #include "bulrushrun/steering/ProxiedRequest.h"
+#include "bulrushrun/steering/ReturnTime.h"
 #include "bulrushrun/steering/RunTimeEstimate.h"
+#include "bulrushrun/steering/ServicePriorities.h"
 #include "bulrushrun/steering/TargetPicker.h"
 #include "bulrushrun/steering/TargetRateMessage.h"
 
@@ -86,6 +90,7 @@
   std::size_t requestsInProgress() const { return mRequests.size(); }
   const RequestProxyCounters& counters() const { return mCounters; }
   const ServiceMetrics& metrics() const { return mMetrics; }
+  const AdmissionMetrics& admissionMetrics() const { return mAdmissionMetrics; }
   const RegionShares& regionShares() const { return mRegionShares; }
   /// \brief Sets the callback for responses that show that a target is leaving, was replaced or is
   /// cold.
@@ -146,6 +151,10 @@
   /// The rest of a target is prolonged by a random part of up to this fraction, so that the
   /// instances that it turned away do not return together.
   static constexpr double kMaxRestSpread = 0.1;
+  /// Retry-After of requests refused before admission, in seconds. Where requests compete for
+  /// capacity, callers of an instance that shuts down find it at other instances at once.
+  static constexpr const char* kRefusalRetryAfter = "0.5";
+  static constexpr const char* kElsewhereRetryAfter = "0.05";
   /// Interval at which the regions to which requests were sent are logged.
   static constexpr Duration kShareLogPeriod = std::chrono::seconds(1);
   /// Time that must remain for a retry, as a fraction of the smoothed latency.
@@ -198,6 +207,17 @@
   void abandonAttempt(Request& aRequest);
   void forwardHead(Request& aRequest, std::optional<std::uint64_t> aLength);
 
+  // Competition by priority.
+  static int effectivePriority(const Request& aRequest);
+  const ServicePriorities& servicePriorities();
+  std::optional<AdmissionTerms> makeTerms(Request& aRequest);
+  void onPicked(Request& aRequest, const PickResult& aPick);
+  void recordExecution(const Request& aRequest, Duration aElapsed);
+  static std::uint64_t repeatHash(const Request& aRequest);
+  void countRefusal(const Request& aRequest);
+  Duration competitorReturnTime(const Request& aRequest);
+  static std::string competitionText(const Request& aRequest);
+
   // Origin of responses.
   bool isMatching(const Request& aRequest, const ResponseHead& aHead);
   bool isDeclined(const Request& aRequest) const;
@@ -220,6 +240,14 @@
   std::map<ServiceName, Duration> mLatencies;
   /// By route.
   std::map<std::string, RunTimeEstimate> mRunTimes;
+  /// Priorities of the configuration for which they were computed last.
+  std::shared_ptr<const RoutePlan> mRankedPlan;
+  ServicePriorities mServicePriorities;
+  /// Learned execution times by route, and of all requests of a service.
+  std::map<std::string, ExecutionTimeLearner> mExecutionTimes;
+  std::map<ServiceName, MedianEstimate> mQueuedTimes;
+  EarlyRepeats mEarlyRepeats;
+  AdmissionMetrics mAdmissionMetrics;
   std::map<std::string, WeightedRoundRobin> mServiceSplits;
   std::function<void(const TargetAttempt&)> mOnTargetUpdate;
   std::function<void(const Placement&)> mOnPlaced;
@@ -238,6 +266,8 @@
 #include "bulrushrun/steering/RequestProxyAdmission.h"
 // Actions of the state machine.
 #include "bulrushrun/steering/RequestProxyActions.h"
+// Competition by priority.
+#include "bulrushrun/steering/RequestProxyCompetition.h"
 // Attempts at targets.
 #include "bulrushrun/steering/RequestProxyExchange.h"
 // Origin of responses.
--- a/bulrushrun/steering/RequestProxyActions.h
+++ b/bulrushrun/steering/RequestProxyActions.h
@@ -101,15 +101,11 @@
     return;
   }
   const TimePoint now = mHost.now();
-  const PickResult pick = mPicker.pick(makePickQuery(aRequest),
-                                       mSteeringState.mTargets.usable(aRequest.mService, now),
-                                       mSteeringState.mContext,
-                                       now);
-  aRequest.mUsable = pick.mUsable;
-  aRequest.mColdLimited = pick.mColdLimited;
-  aRequest.mRateLimited = pick.mRateLimited;
-  aRequest.mLoad = pick.mLoad;
-  aRequest.mPreferenceRank = pick.mPreferenceRank;
+  PickQuery query = makePickQuery(aRequest);
+  query.mTerms = makeTerms(aRequest);
+  const PickResult pick = mPicker.pick(
+    query, mSteeringState.mTargets.usable(aRequest.mService, now), mSteeringState.mContext, now);
+  onPicked(aRequest, pick);
   if (pick.mPlaced) {
     announcePlacement(aRequest, *pick.mPlaced);
   }
@@ -194,6 +190,9 @@
   const Duration latency = std::max(smoothedLatency(aRequest.mService), kMinRetryAfter);
   const double jitter = 0.5 + mHost.random().unit();
   Duration delay = std::min(fromSeconds(toSeconds(latency) * jitter), kMaxRetryAfter);
+  if (aRequest.mLevel) {
+    delay = competitorReturnTime(aRequest);
+  }
   const TimePoint now = mHost.now();
   // While all targets rest, an earlier return would be refused, too.
   const std::optional<TimePoint> endOfRest =
@@ -214,6 +213,7 @@
 {
   constexpr int kUnavailable = 503;
   ++mCounters.mRefused;
+  countRefusal(aRequest);
   sendLocalResponse(aRequest,
                     kUnavailable,
                     { { "Retry-After", retryAfter(aRequest) } },
@@ -287,7 +287,7 @@
               " news_age_ms=" + std::to_string(toMillis(now - mSteeringState.mSyncedAt)) +
               " sends=" + std::to_string(aRequest.mAttempts) + " outcome=" + aOutcome + " status=" +
               std::to_string(aStatus) + " ms=" + std::to_string(toMillis(now - aRequest.mArrived)) +
-              homeRegionText(aRequest) +
+              competitionText(aRequest) + homeRegionText(aRequest) +
               (aRequest.mReason.empty() ? "" : " reason=\"" + aRequest.mReason + "\""));
   mRequests.erase(aRequest.mId.value());
 }
--- a/bulrushrun/steering/RequestProxyAdmission.h
+++ b/bulrushrun/steering/RequestProxyAdmission.h
@@ -16,7 +16,9 @@
   response.mHead.mStatus = aStatus;
   response.mHead.mHeaders = { { "Content-Type", "text/plain" } };
   if (aStatus == 503) {
-    response.mHead.mHeaders.push_back({ "Retry-After", "0.5" });
+    const bool isElsewhere = aText == kShuttingDownText && servicePriorities().isCompetitive();
+    response.mHead.mHeaders.push_back(
+      { "Retry-After", isElsewhere ? kElsewhereRetryAfter : kRefusalRetryAfter });
   }
   response.mHead.mCloseAfter = mSteeringState.mDraining;
   response.mBody = aText + "\n";
--- /dev/null
+++ b/bulrushrun/steering/RequestProxyCompetition.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include "bulrushrun/steering/RequestProxy.h"
+
+/// \file
+/// \brief RequestProxy: requests that compete by priority for scarce capacity.
+
+namespace bulrushrun {
+
+/// \returns the priority of the request: its customer's before its route's.
+template<class HostType, class Codec>
+int RequestProxy<HostType, Codec>::effectivePriority(const Request& aRequest)
+{
+  const Customer* customer = aRequest.mCustomer;
+  return customer != nullptr && customer->mPriority ? *customer->mPriority
+                                                    : aRequest.mRoute->mPriority;
+}
+
+/// \returns the priorities of the configuration in force.
+template<class HostType, class Codec>
+const ServicePriorities& RequestProxy<HostType, Codec>::servicePriorities()
+{
+  if (mRankedPlan != mSteeringState.mPlan) {
+    mRankedPlan = mSteeringState.mPlan;
+    mServicePriorities =
+      mRankedPlan == nullptr ? ServicePriorities{} : ServicePriorities{ *mRankedPlan };
+  }
+  return mServicePriorities;
+}
+
+/// \returns the terms of the next attempt, or nothing where requests do not compete.
+template<class HostType, class Codec>
+std::optional<AdmissionTerms> RequestProxy<HostType, Codec>::makeTerms(Request& aRequest)
+{
+  aRequest.mLevel = servicePriorities().levelOf(aRequest.mService, effectivePriority(aRequest));
+  if (!aRequest.mLevel) {
+    return std::nullopt;
+  }
+  const TimePoint now = mHost.now();
+  if (aRequest.mTriedTargets.empty()) {
+    aRequest.mIsEarlyRepeat = mEarlyRepeats.isEarly(repeatHash(aRequest), now);
+  }
+  return AdmissionTerms{ *aRequest.mLevel,
+                         mExecutionTimes[aRequest.mRoute->mName].times(
+                           mQueuedTimes[aRequest.mService]),
+                         aRequest.mArrived + aRequest.mRoute->mLatencyTarget - now,
+                         responseDue(aRequest) - now,
+                         aRequest.mIsEarlyRepeat };
+}
+
+/// Keeps the inputs of the choice of a target, for the log and for learning.
+template<class HostType, class Codec>
+void RequestProxy<HostType, Codec>::onPicked(Request& aRequest, const PickResult& aPick)
+{
+  aRequest.mUsable = aPick.mUsable;
+  aRequest.mColdLimited = aPick.mColdLimited;
+  aRequest.mRateLimited = aPick.mRateLimited;
+  aRequest.mLoad = aPick.mLoad;
+  aRequest.mPreferenceRank = aPick.mPreferenceRank;
+  aRequest.mExpected = aPick.mExpected;
+  aRequest.mUntilRoom = aPick.mUntilRoom;
+  aRequest.mIsWarm = aPick.mIsWarm;
+  aRequest.mSlots = aPick.mTarget == nullptr ? 0 : aPick.mTarget->mEntry.mSlots;
+  aRequest.mPickFailure = aPick.mFailure;
+  if (aPick.mExpected) {
+    mAdmissionMetrics.onSent(aRequest.mService, *aPick.mExpected);
+  }
+}
+
+/// Learns the execution time from an attempt that ended with a response.
+template<class HostType, class Codec>
+void RequestProxy<HostType, Codec>::recordExecution(const Request& aRequest, Duration aElapsed)
+{
+  if (aRequest.mLevel && aRequest.mSlots > 0) {
+    ExecutionTimeLearner& learner = mExecutionTimes[aRequest.mRoute->mName];
+    mQueuedTimes[aRequest.mService].add(
+      learner.add(aElapsed, aRequest.mLoad, aRequest.mSlots, aRequest.mIsWarm));
+  }
+}
+
+/// \returns a hash of what a repeat of the request by its caller has in common with it. The id of
+/// the request differs.
+template<class HostType, class Codec>
+std::uint64_t RequestProxy<HostType, Codec>::repeatHash(const Request& aRequest)
+{
+  const std::uint64_t customer =
+    aRequest.mCustomer == nullptr ? 0 : hashText(aRequest.mCustomer->mName.text());
+  const std::uint64_t object = hashText(aRequest.mMetadata.mAffinityKey.value_or(""));
+  return combineHashes(combineHashes(customer, object),
+                       hashText(aRequest.mRequest.mMethod + aRequest.mRequest.mPath));
+}
+
+/// \returns after which time the caller of a refused request is to return.
+template<class HostType, class Codec>
+Duration RequestProxy<HostType, Codec>::competitorReturnTime(const Request& aRequest)
+{
+  const TimePoint now = mHost.now();
+  const Duration untilRoom = aRequest.mUntilRoom.value_or(mQueuedTimes[aRequest.mService].value());
+  const Duration delay = returnTime(untilRoom, aRequest.mDeadline - now, mHost.random().unit());
+  mEarlyRepeats.onRefused(repeatHash(aRequest), now + delay);
+  return delay;
+}
+
+/// Counts a request that competed and was refused.
+template<class HostType, class Codec>
+void RequestProxy<HostType, Codec>::countRefusal(const Request& aRequest)
+{
+  if (aRequest.mLevel) {
+    mAdmissionMetrics.onRefused(
+      aRequest.mService, aRequest.mLevel->mLevel, label(aRequest.mPickFailure));
+  }
+}
+
+/// \returns what the log adds for a request that competed; empty for any other one.
+template<class HostType, class Codec>
+std::string RequestProxy<HostType, Codec>::competitionText(const Request& aRequest)
+{
+  if (!aRequest.mLevel) {
+    return {};
+  }
+  return " priority=" + std::to_string(effectivePriority(aRequest)) + " expected_ms=" +
+         (aRequest.mExpected ? std::to_string(toMillis(*aRequest.mExpected)) : "-") +
+         (aRequest.mIsEarlyRepeat ? " early_repeat=1" : "");
+}
+
+} // namespace bulrushrun
--- a/bulrushrun/steering/RequestProxyExchange.h
+++ b/bulrushrun/steering/RequestProxyExchange.h
@@ -227,6 +227,7 @@
   recordAttemptResult(aRequest, failed ? AttemptResult::FailedAnswer : AttemptResult::Answered);
   if (!failed) {
     recordRunTime(aRequest, elapsed);
+    recordExecution(aRequest, elapsed);
     Duration& latency = mLatencies[aRequest.mService];
     constexpr int kSmoothing = 16;
     latency = latency == Duration{ 0 } ? elapsed : latency + (elapsed - latency) / kSmoothing;
--- a/bulrushrun/steering/SteeringInstanceService.h
+++ b/bulrushrun/steering/SteeringInstanceService.h
@@ -193,6 +193,7 @@
           "Calls to the store that save placements of objects.",
           mPlacementArchive.storeCalls());
   mProxy.metrics().render(text);
+  mProxy.admissionMetrics().render(text);
   mProxy.regionShares().render(text);
   return text;
 }
--- a/bulrushrun/steering/TargetPicker.h
+++ b/bulrushrun/steering/TargetPicker.h
@@ -11,6 +11,7 @@
 #include "bulrushrun/steering/RegionShares.h"
 #include "bulrushrun/steering/TargetStats.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
@@ -27,6 +28,8 @@
   AllBusy,
   /// All targets that might be used asked for rest.
   AllResting,
+  /// No target is expected to respond before the deadline.
+  TooLate,
 };
 
 /// \brief \returns why no target was picked, for the log and the caller.
@@ -37,11 +40,30 @@
       return "all targets are busy or cold";
     case PickFailure::AllResting:
       return "all targets asked for rest";
+    case PickFailure::TooLate:
+      return "no target can respond before the deadline";
     default:
       return "no usable target";
   }
 }
 
+/// \brief \returns the name of a failure for metrics; None stands for a target that declined.
+constexpr const char* label(PickFailure aFailure)
+{
+  switch (aFailure) {
+    case PickFailure::NoTarget:
+      return "no-target";
+    case PickFailure::AllBusy:
+      return "busy";
+    case PickFailure::AllResting:
+      return "resting";
+    case PickFailure::TooLate:
+      return "too-late";
+    default:
+      return "declined";
+  }
+}
+
 /// \brief Result of a choice.
 struct PickResult
 {
@@ -58,6 +80,12 @@
   std::size_t mPreferenceRank = 0;
   /// Why the request goes to the region of the target.
   RegionChoice mRegionChoice = RegionChoice::Preferred;
+  /// Expected time from sending to the response; empty without PickQuery::mTerms.
+  std::optional<Duration> mExpected;
+  /// The target is expected to have the object's data.
+  bool mIsWarm = true;
+  /// When no target was picked: expected time until the preferred one has room for the request.
+  std::optional<Duration> mUntilRoom;
   /// Placement that this choice made, to be announced to the other instances.
   std::optional<Placement> mPlaced;
 };
@@ -168,6 +196,21 @@
                     const PickQuery& aQuery,
                     const PickContext& aContext,
                     TimePoint aNow);
+  /// \brief As select(), for requests that compete by priority: targets at which the request is
+  /// expected to be in time come first, and the limits depend on its priority.
+  PickResult compete(const CandidateOrder& aOrder,
+                     const std::function<bool(const Candidate&)>& aAdmits,
+                     const PickQuery& aQuery,
+                     const PickContext& aContext,
+                     TimePoint aNow);
+  /// Takes a candidate unless it is cold, or limited to a rate, and this instance's quota is used
+  /// up.
+  bool take(const CandidateOrder& aOrder,
+            std::size_t aPosition,
+            const PickQuery& aQuery,
+            const PickContext& aContext,
+            TimePoint aNow,
+            PickResult& aResult);
   static CandidateOrder orderCandidates(const PickQuery& aQuery,
                                         const PickContext& aContext,
                                         std::vector<Candidate> aCandidates);
--- a/bulrushrun/steering/TargetSelection.cpp
+++ b/bulrushrun/steering/TargetSelection.cpp
@@ -28,6 +28,31 @@
 
 } // namespace
 
+bool TargetPicker::take(const CandidateOrder& aOrder,
+                        std::size_t aPosition,
+                        const PickQuery& aQuery,
+                        const PickContext& aContext,
+                        TimePoint aNow,
+                        PickResult& aResult)
+{
+  const Candidate& candidate = aOrder.mCandidates[aPosition];
+  const KnownTarget& target = *candidate.mTarget;
+  if (!admitsIfCold(target, aQuery, aContext, aNow)) {
+    ++aResult.mColdLimited;
+    return false;
+  }
+  if (!mRateLimiter.admit(
+        target.mEntry.mId, target.mHash, target.mEntry.mIncarnation, aContext.mFleetQuota, aNow)) {
+    ++aResult.mRateLimited;
+    return false;
+  }
+  aResult.mTarget = &target;
+  aResult.mLoad = candidate.mLoad;
+  aResult.mPreferenceRank = aPosition + 1;
+  aResult.mIsWarm = aPosition < aOrder.mPrimariesEnd;
+  return true;
+}
+
 template<class Admits>
 PickResult TargetPicker::select(const CandidateOrder& aOrder,
                                 const Admits& aAdmits,
@@ -36,6 +61,9 @@
                                 const PickContext& aContext,
                                 TimePoint aNow)
 {
+  if (aQuery.mTerms) {
+    return compete(aOrder, aAdmits, aQuery, aContext, aNow);
+  }
   PickResult result;
   const std::vector<Candidate>& order = aOrder.mCandidates;
   // The last pass is for requests that are not admitted to other regions.
@@ -49,26 +77,11 @@
   };
   for (const SelectionPass& pass : passes) {
     for (std::size_t i = pass.mBegin; i < pass.mEnd; ++i) {
-      const KnownTarget& target = *order[i].mTarget;
-      if (!aAdmits(order[i]) || order[i].mLoad + 1 > pass.mMaxLoadFactor * target.mEntry.mSlots) {
-        continue;
-      }
-      if (!admitsIfCold(target, aQuery, aContext, aNow)) {
-        ++result.mColdLimited;
-        continue;
-      }
-      if (!mRateLimiter.admit(target.mEntry.mId,
-                              target.mHash,
-                              target.mEntry.mIncarnation,
-                              aContext.mFleetQuota,
-                              aNow)) {
-        ++result.mRateLimited;
-        continue;
+      const double slots = order[i].mTarget->mEntry.mSlots;
+      if (aAdmits(order[i]) && order[i].mLoad + 1 <= pass.mMaxLoadFactor * slots &&
+          take(aOrder, i, aQuery, aContext, aNow, result)) {
+        return result;
       }
-      result.mTarget = &target;
-      result.mLoad = order[i].mLoad;
-      result.mPreferenceRank = i + 1;
-      return result;
     }
   }
   result.mFailure = PickFailure::AllBusy;
--- a/bulrushrun/steering/tests/PickerFleet.cpp
+++ b/bulrushrun/steering/tests/PickerFleet.cpp
@@ -121,6 +121,7 @@
     query.mAffinity = Affinity::Key;
     query.mAffinityKey = mixBits(aRegion * objects + mRandom.below(objects));
   }
+  query.mTerms = mOptions.mTerms;
   query.mColdRateLimit = 20;
   query.mColdStartDuration = kColdStartDuration;
   const PickResult result =
--- a/bulrushrun/steering/tests/PickerFleet.h
+++ b/bulrushrun/steering/tests/PickerFleet.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -29,6 +30,8 @@
   /// Instances learn of events up to this much later, each at another time.
   Duration mMaxDelay = std::chrono::milliseconds(1000);
   std::uint64_t mSeed = 1;
+  /// Terms of all requests, if they compete by priority.
+  std::optional<AdmissionTerms> mTerms = {};
 };
 
 /// \brief The pickers of many instances, each with its own view of one service's targets, under a
