--- a/bulrushrun/steering/RequestProxy.h
+++ b/bulrushrun/steering/RequestProxy.h
@@ -1,11 +1,15 @@
 #pragma once
 
 #include "bulrushrun/limits/RetryBudgetShare.h"
+#include "bulrushrun/metrics/AdmissionMetrics.h"
 #include "bulrushrun/metrics/ServiceMetrics.h"
 #include "bulrushrun/quotas.h"
+#include "bulrushrun/steering/EarlyRepeats.h"
 #include "bulrushrun/steering/LoadReportMessage.h"
 #include "bulrushrun/steering/ProxiedRequest.h"
+#include "bulrushrun/steering/ReturnTime.h"
 #include "bulrushrun/steering/RunTimeEstimate.h"
+#include "bulrushrun/steering/ServicePriorities.h"
 #include "bulrushrun/steering/TargetPicker.h"
 #include "bulrushrun/steering/TargetRateMessage.h"
 
@@ -91,6 +95,7 @@
   const RequestProxyCounters& counters() const { return mCounters; }
   const ServiceMetrics& metrics() const { return mMetrics; }
   const CustomerMetrics& customerMetrics() const { return mCustomerMetrics; }
+  const AdmissionMetrics& admissionMetrics() const { return mAdmissionMetrics; }
   const RegionShares& regionShares() const { return mRegionShares; }
   /// \brief Sets the callback for responses that show that a target is leaving, was replaced or is
   /// cold.
@@ -161,6 +166,10 @@
   /// The rest of a target is prolonged by a random part of up to this fraction, so that the
   /// instances that it turned away do not return together.
   static constexpr double kMaxRestSpread = 0.1;
+  /// Retry-After of requests refused before admission, in seconds. Where requests compete for
+  /// capacity, callers of an instance that shuts down find it at other instances at once.
+  static constexpr const char* kRefusalRetryAfter = "0.5";
+  static constexpr const char* kElsewhereRetryAfter = "0.05";
   /// Interval at which the regions to which requests were sent are logged.
   static constexpr Duration kShareLogPeriod = std::chrono::seconds(1);
   /// Interval at which the customers that have metrics of their own are chosen.
@@ -240,6 +249,16 @@
   void abandonAttempt(Request& aRequest);
   void forwardHead(Request& aRequest, std::optional<std::uint64_t> aLength);
 
+  // Competition by priority.
+  const ServicePriorities& servicePriorities();
+  std::optional<AdmissionTerms> makeTerms(Request& aRequest);
+  void onPicked(Request& aRequest, const PickResult& aPick);
+  void recordExecution(const Request& aRequest, Duration aElapsed);
+  static std::uint64_t repeatHash(const Request& aRequest);
+  void countRefusal(const Request& aRequest);
+  Duration competitorReturnTime(const Request& aRequest);
+  static std::string competitionText(const Request& aRequest);
+
   // Origin of responses.
   bool isMatching(const Request& aRequest, const ResponseHead& aHead);
   bool isDeclined(const Request& aRequest) const;
@@ -262,6 +281,14 @@
   std::map<ServiceName, Duration> mLatencies;
   /// By route.
   std::map<std::string, RunTimeEstimate> mRunTimes;
+  /// Priorities of the configuration for which they were computed last.
+  std::shared_ptr<const RoutePlan> mRankedPlan;
+  ServicePriorities mServicePriorities;
+  /// Learned execution times by route, and of all requests of a service.
+  std::map<std::string, ExecutionTimeLearner> mExecutionTimes;
+  std::map<ServiceName, MedianEstimate> mQueuedTimes;
+  EarlyRepeats mEarlyRepeats;
+  AdmissionMetrics mAdmissionMetrics;
   std::map<std::string, WeightedRoundRobin> mServiceSplits;
   std::function<void(const TargetAttempt&)> mOnTargetUpdate;
   std::function<void(const Placement&)> mOnPlaced;
@@ -288,6 +315,8 @@
 #include "bulrushrun/steering/RequestProxyQuota.h"
 // Actions of the state machine.
 #include "bulrushrun/steering/RequestProxyActions.h"
+// Competition by priority.
+#include "bulrushrun/steering/RequestProxyCompetition.h"
 // Attempts at targets.
 #include "bulrushrun/steering/RequestProxyExchange.h"
 // Origin of responses.
--- a/bulrushrun/steering/RequestProxyActions.h
+++ b/bulrushrun/steering/RequestProxyActions.h
@@ -91,15 +91,11 @@
     return;
   }
   const TimePoint now = mHost.now();
-  const PickResult pick = mPicker.pick(makePickQuery(aRequest),
-                                       mSteeringState.mTargets.usable(aRequest.mService, now),
-                                       mSteeringState.mContext,
-                                       now);
-  aRequest.mUsable = pick.mUsable;
-  aRequest.mColdLimited = pick.mColdLimited;
-  aRequest.mRateLimited = pick.mRateLimited;
-  aRequest.mLoad = pick.mLoad;
-  aRequest.mPreferenceRank = pick.mPreferenceRank;
+  PickQuery query = makePickQuery(aRequest);
+  query.mTerms = makeTerms(aRequest);
+  const PickResult pick = mPicker.pick(
+    query, mSteeringState.mTargets.usable(aRequest.mService, now), mSteeringState.mContext, now);
+  onPicked(aRequest, pick);
   if (pick.mPlaced) {
     announcePlacement(aRequest, *pick.mPlaced);
   }
@@ -189,6 +185,9 @@
   const Duration latency = std::max(smoothedLatency(aRequest.mService), kMinRetryAfter);
   const double jitter = 0.5 + mHost.random().unit();
   Duration delay = std::min(fromSeconds(toSeconds(latency) * jitter), kMaxRetryAfter);
+  if (aRequest.mLevel) {
+    delay = competitorReturnTime(aRequest);
+  }
   const TimePoint now = mHost.now();
   // While all targets rest, an earlier return would be refused, too.
   const std::optional<TimePoint> endOfRest =
@@ -209,6 +208,7 @@
 {
   constexpr int kUnavailable = 503;
   ++mCounters.mRefused;
+  countRefusal(aRequest);
   if (aRequest.mCustomer != nullptr) {
     mCustomerMetrics.onRefusal(aRequest.mCustomer->mName);
   }
@@ -273,9 +273,9 @@
               " cold_limited=" + std::to_string(aRequest.mColdLimited) +
               " rate_limited=" + std::to_string(aRequest.mRateLimited) +
               " news_age_ms=" + std::to_string(toMillis(now - mSteeringState.mSyncedAt)) +
-              " sends=" + std::to_string(aRequest.mAttempts) + " outcome=" + aOutcome +
-              " status=" + std::to_string(aStatus) +
-              " ms=" + std::to_string(toMillis(now - aRequest.mArrived)) + identityText(aRequest) +
+              " sends=" + std::to_string(aRequest.mAttempts) + " outcome=" + aOutcome + " status=" +
+              std::to_string(aStatus) + " ms=" + std::to_string(toMillis(now - aRequest.mArrived)) +
+              competitionText(aRequest) + identityText(aRequest) +
               (aRequest.mReason.empty() ? "" : " reason=\"" + aRequest.mReason + "\""));
   mRequests.erase(aRequest.mId.value());
 }
