--- a/bulrushrun/steering/RequestProxyAdmission.h
+++ b/bulrushrun/steering/RequestProxyAdmission.h
@@ -19,7 +19,9 @@
   response.mHead.mHeaders = std::move(aHeaders);
   response.mHead.mHeaders.push_back({ "Content-Type", "text/plain" });
   if (aStatus == 503) {
-    response.mHead.mHeaders.push_back({ "Retry-After", "0.5" });
+    const bool isElsewhere = aText == kShuttingDownText && servicePriorities().isCompetitive();
+    response.mHead.mHeaders.push_back(
+      { "Retry-After", isElsewhere ? kElsewhereRetryAfter : kRefusalRetryAfter });
   }
   response.mHead.mCloseAfter = mSteeringState.mDraining;
   response.mBody = aText + "\n";
--- a/bulrushrun/steering/SteeringInstanceService.h
+++ b/bulrushrun/steering/SteeringInstanceService.h
@@ -202,6 +202,7 @@
     std::to_string(mEpochs.epoch().value()) + "\n";
   mProxy.metrics().render(text);
   mProxy.customerMetrics().render(text);
+  mProxy.admissionMetrics().render(text);
   mProxy.regionShares().render(text);
   mQuotaGate.render(text);
   if (mConnectionMetrics) {
