--- a/bulrushrun/steering/RequestProxy.h
+++ b/bulrushrun/steering/RequestProxy.h
@@ -165,6 +165,7 @@
   bool canEndBeforeExit(const Route& aRoute, TimePoint aDeadline) const;
   TimePoint responseDue(const Request& aRequest) const;
   void recordRunTime(const Request& aRequest, Duration aElapsed);
+  const Route* matchOrRefuse(const HttpRequest& aRequest, ResponderType& aResponder);
   bool exceedsLimits(const HttpRequest& aRequest, ResponderType& aResponder);
   void logRegionShares();
   void setCallerCallbacks(Request& aRequest);
@@ -173,10 +174,10 @@
 
   // Customers.
   CallerIdentification identify(const HttpRequest& aRequest, const Route& aRoute) const;
-  void refuseKey(ResponderType& aResponder,
-                 KeyRefusal aRefusal,
-                 const Route& aRoute,
-                 const RequestMetadata& aMetadata);
+  bool admitKey(const CallerIdentification& aCaller,
+                ResponderType& aResponder,
+                const Route& aRoute,
+                const RequestMetadata& aMetadata);
   static std::string keyRefusalText(KeyRefusal aRefusal);
   void setIdentity(Request& aRequest,
                    const CallerIdentification& aCaller,
--- a/bulrushrun/steering/RequestProxyAdmission.h
+++ b/bulrushrun/steering/RequestProxyAdmission.h
@@ -77,6 +77,23 @@
   mRunTimes[aRequest.mRoute->mName].add(aElapsed);
 }
 
+/// \returns the route of a request; nullptr when there is none, which the caller is told.
+template<class HostType, class Codec>
+const Route* RequestProxy<HostType, Codec>::matchOrRefuse(const HttpRequest& aRequest,
+                                                          ResponderType& aResponder)
+{
+  const std::string_view path = aRequest.mPath;
+  const Route* route =
+    mSteeringState.mPlan->match(aRequest.mAuthority, path.substr(0, path.find('?')));
+  if (route == nullptr) {
+    refuseBeforeAdmission(aResponder,
+                          404,
+                          "no route for host=" + aRequest.mAuthority + " path=" + aRequest.mPath +
+                            " version=" + std::to_string(mSteeringState.mPlan->mVersion.value()));
+  }
+  return route;
+}
+
 template<class HostType, class Codec>
 void RequestProxy<HostType, Codec>::accept(HttpRequest aRequest,
                                            ResponderPtr aResponder,
@@ -94,14 +111,8 @@
   if (exceedsLimits(aRequest, *aResponder)) {
     return;
   }
-  const std::string_view path = std::string_view{ aRequest.mPath };
-  const Route* route =
-    mSteeringState.mPlan->match(aRequest.mAuthority, path.substr(0, path.find('?')));
+  const Route* route = matchOrRefuse(aRequest, *aResponder);
   if (route == nullptr) {
-    refuseBeforeAdmission(*aResponder,
-                          404,
-                          "no route for host=" + aRequest.mAuthority + " path=" + aRequest.mPath +
-                            " version=" + std::to_string(mSteeringState.mPlan->mVersion.value()));
     return;
   }
   const TimePoint now = mHost.now();
@@ -113,13 +124,9 @@
     return;
   }
   const CallerIdentification caller = identify(aRequest, *route);
-  if (caller.mRefusal) {
-    refuseKey(*aResponder, *caller.mRefusal, *route, metadata);
+  if (!admitKey(caller, *aResponder, *route, metadata)) {
     return;
   }
-  if (caller.mCustomer != nullptr) {
-    mCustomerMetrics.onRequest(caller.mCustomer->mName);
-  }
   // Quotas are checked here: the customer, its effective priority and the route are known, and the
   // request is not in progress yet.
   mLastId = mLastId.next();
--- a/bulrushrun/steering/RequestProxyIdentity.h
+++ b/bulrushrun/steering/RequestProxyIdentity.h
@@ -18,19 +18,28 @@
                                      Codec::parsePresentedKey(aRequest.mHeaders));
 }
 
+/// Counts the request of a customer, or refuses an unusable key. \returns true when the request may
+/// be served
 template<class HostType, class Codec>
-void RequestProxy<HostType, Codec>::refuseKey(ResponderType& aResponder,
-                                              KeyRefusal aRefusal,
-                                              const Route& aRoute,
-                                              const RequestMetadata& aMetadata)
+bool RequestProxy<HostType, Codec>::admitKey(const CallerIdentification& aCaller,
+                                             ResponderType& aResponder,
+                                             const Route& aRoute,
+                                             const RequestMetadata& aMetadata)
 {
-  mCustomerMetrics.onKeyRefusal(aRefusal);
+  if (aCaller.mCustomer != nullptr) {
+    mCustomerMetrics.onRequest(aCaller.mCustomer->mName);
+  }
+  if (!aCaller.mRefusal) {
+    return true;
+  }
+  mCustomerMetrics.onKeyRefusal(*aCaller.mRefusal);
   refuseBeforeAdmission(aResponder,
                         kUnauthorized,
-                        keyRefusalText(aRefusal),
+                        keyRefusalText(*aCaller.mRefusal),
                         Codec::keyChallengeHeaders(),
                         "id=" + aMetadata.mId + " route=" + aRoute.mName + " version=" +
                           std::to_string(mSteeringState.mPlan->mVersion.value()) + " ");
+  return false;
 }
 
 template<class HostType, class Codec>
