--- a/bulrushrun/net/PipelinedConnection.cpp
+++ b/bulrushrun/net/PipelinedConnection.cpp
@@ -5,7 +5,6 @@
 #include "bulrushrun/net/Sockets.h"
 
 #include <algorithm>
-#include <new>
 #include <utility>
 
 namespace bulrushrun {
@@ -120,9 +119,8 @@
   ++mCurrentNumber;
   mKernelBytes = 0;
   setAtLimit(false);
-  void* reference =
-    h2o_mem_alloc_shared(&aRequest->pool, sizeof(PipelinedConnection*), onCurrentOver);
-  new (reference) PipelinedConnection*(this);
+  void* reference = h2o_mem_alloc_shared(&aRequest->pool, sizeof(void*), onCurrentOver);
+  *static_cast<void**>(reference) = this;
   if (!mayReadAhead()) {
     return;
   }
@@ -134,9 +132,9 @@
 }
 
 /// Runs when h2o frees the request: before it reads on, or closes the connection.
-void PipelinedConnection::onCurrentOver(void* aConnection)
+void PipelinedConnection::onCurrentOver(void* aReference)
 {
-  (*static_cast<PipelinedConnection**>(aConnection))->unwatch();
+  static_cast<PipelinedConnection*>(*static_cast<void**>(aReference))->unwatch();
 }
 
 void PipelinedConnection::unwatch()
