Speeds that targets report count in the expected completion

Cause: targets of the new deployments state in a fourth figure of their load report how long work takes on their machine, which changes many times a second; nothing read it, so that requests waited at slow machines.

It counts fully up to an age of 100 ms and not at all from 500 ms on, multiplies the expected wait and execution, and is taken out of the execution times that are learned. Targets that work at least 1.5 times as long as usual are told to the region's instances in a message of its own kind, which older instances drop. Among requests without a key, the load counts with a random part of one request. bulrushrun_completion_error_seconds shows actual minus expected times.

--- a/bulrushrun/metrics/AdmissionMetrics.cpp
+++ b/bulrushrun/metrics/AdmissionMetrics.cpp
@@ -35,6 +35,15 @@
   findSeries(mExpected, serviceLabel(aService), kMaxSeries).add(aExpected);
 }
 
+void AdmissionMetrics::onCompleted(const ServiceName& aService,
+                                   Duration aExpected,
+                                   Duration aActual)
+{
+  const std::string direction = aActual > aExpected ? "later" : "earlier";
+  findSeries(mErrors, serviceLabel(aService) + ",direction=\"" + direction + "\"", kMaxSeries)
+    .add(std::chrono::abs(aActual - aExpected));
+}
+
 void AdmissionMetrics::render(std::string& aText) const
 {
   if (!mRefusals.empty()) {
@@ -45,14 +54,21 @@
       aText += name + "{" + labels + "} " + std::to_string(count) + "\n";
     }
   }
-  if (!mExpected.empty()) {
-    const std::string name = "bulrushrun_expected_completion_seconds";
-    aText += "# HELP " + name + " Expected time to the target's response.\n# TYPE " + name +
-             " histogram\n";
-    for (const auto& [labels, expected] : mExpected) {
-      expected.render(name, labels, aText);
+  const auto appendHistogram = [&aText](const std::string& aName,
+                                        const std::string& aHelp,
+                                        const std::map<std::string, LatencyHistogram>& aSeries) {
+    if (!aSeries.empty()) {
+      aText += "# HELP " + aName + " " + aHelp + "\n# TYPE " + aName + " histogram\n";
     }
-  }
+    for (const auto& [labels, values] : aSeries) {
+      values.render(aName, labels, aText);
+    }
+  };
+  appendHistogram(
+    "bulrushrun_expected_completion_seconds", "Expected time to the target's response.", mExpected);
+  appendHistogram("bulrushrun_completion_error_seconds",
+                  "Difference between the actual and the expected time, by direction.",
+                  mErrors);
 }
 
 } // namespace bulrushrun
--- a/bulrushrun/metrics/AdmissionMetrics.h
+++ b/bulrushrun/metrics/AdmissionMetrics.h
@@ -18,6 +18,8 @@
   /// \brief Records a refused request.
   /// \param aLevel  rank of its priority at the service, 0 for the most urgent
   void onRefused(const ServiceName& aService, int aLevel, const char* aReason);
+  /// \brief Records by how much a response came earlier or later than expected.
+  void onCompleted(const ServiceName& aService, Duration aExpected, Duration aActual);
   /// \brief Records the expected time to the response of a request that is sent.
   void onSent(const ServiceName& aService, Duration aExpected);
 
@@ -29,6 +31,8 @@
 
   std::map<std::string, std::uint64_t> mRefusals;
   std::map<std::string, LatencyHistogram> mExpected;
+  /// Absolute differences of expected and actual times, by direction.
+  std::map<std::string, LatencyHistogram> mErrors;
 };
 
 } // namespace bulrushrun
--- a/bulrushrun/steering/AdmissionTerms.h
+++ b/bulrushrun/steering/AdmissionTerms.h
@@ -26,12 +26,14 @@
 };
 
 /// \brief \returns what is expected of a target with this load.
+/// \param aSlowdown  how long work takes there now, as a multiple of the usual time
 inline CompletionOutlook outlookAt(const AdmissionTerms& aTerms,
                                    double aLoad,
                                    int aSlots,
-                                   bool aIsWarm)
+                                   bool aIsWarm,
+                                   double aSlowdown)
 {
-  const Duration expected = expectedCompletion(aLoad, aSlots, aIsWarm, aTerms.mTimes);
+  const Duration expected = expectedCompletion(aLoad, aSlots, aIsWarm, aTerms.mTimes, aSlowdown);
   return { expected, expected <= aTerms.mToLatencyTarget, expected <= aTerms.mToDeadline };
 }
 
--- a/bulrushrun/steering/CompletionEstimate.h
+++ b/bulrushrun/steering/CompletionEstimate.h
@@ -46,12 +46,15 @@
 }
 
 /// \brief \returns how long a request is expected to take at a target from when it is sent.
+/// \param aSlowdown  how long work takes there now, as a multiple of the usual time
 inline Duration expectedCompletion(double aLoad,
                                    int aSlots,
                                    bool aIsWarm,
-                                   const ExecutionTimes& aTimes)
+                                   const ExecutionTimes& aTimes,
+                                   double aSlowdown = 1)
 {
-  return expectedWait(aLoad, aSlots, aTimes.mQueued) + aTimes.execution(aIsWarm);
+  const Duration usual = expectedWait(aLoad, aSlots, aTimes.mQueued) + aTimes.execution(aIsWarm);
+  return fromSeconds(toSeconds(usual) * aSlowdown);
 }
 
 /// \brief Learns the execution times of one route from attempts.
@@ -61,11 +64,12 @@
   /// \brief Records an attempt that ended with a response. \returns the execution time without the
   /// expected wait, which the caller adds to the service's
   /// \param aLoad  load that the target was believed to have when the request was sent
-  Duration add(Duration aElapsed, double aLoad, int aSlots, bool aIsWarm)
+  /// \param aSlowdown  how long work was believed to take there, as a multiple of the usual time
+  Duration add(Duration aElapsed, double aLoad, int aSlots, bool aIsWarm, double aSlowdown = 1)
   {
     // Under overload each attempt waits, so that its wait has to be taken off.
     const Duration execution =
-      fromSeconds(toSeconds(aElapsed) / (1 + queuedExecutions(aLoad, aSlots)));
+      fromSeconds(toSeconds(aElapsed) / (1 + queuedExecutions(aLoad, aSlots)) / aSlowdown);
     (aIsWarm ? mWarm : mCold).add(execution);
     return execution;
   }
--- a/bulrushrun/steering/LoadReport.h
+++ b/bulrushrun/steering/LoadReport.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 namespace bulrushrun {
 
 /// \brief Load that a target reported in a response.
@@ -8,6 +10,9 @@
   int mRunning = 0;
   int mWaiting = 0;
   int mSlots = 0;
+  /// How long work takes at the target now, as a multiple of the usual time; empty when the target
+  /// does not say so.
+  std::optional<double> mSlowdown = {};
 
   /// \brief \returns the requests at the target.
   int total() const { return mRunning + mWaiting; }
--- a/bulrushrun/steering/LoadReportExchange.h
+++ b/bulrushrun/steering/LoadReportExchange.h
@@ -22,13 +22,16 @@
 class LoadReportExchange
 {
 public:
-  /// \param aOnLoad  runs for each report of another instance
+  /// \param aOnLoad  runs for each load that another instance reports
+  /// \param aOnSlowdown  runs for each slow target that another instance reports
   LoadReportExchange(HostType& aHost,
                      const ZoneTopology& aZones,
-                     std::function<void(const TargetLoad&)> aOnLoad)
+                     std::function<void(const TargetLoad&)> aOnLoad,
+                     std::function<void(const TargetSlowdown&)> aOnSlowdown = nullptr)
     : mHost(aHost)
     , mZones(aZones)
     , mOnLoad(std::move(aOnLoad))
+    , mOnSlowdown(std::move(aOnSlowdown))
   {
   }
 
@@ -45,14 +48,25 @@
   /// Reports per message, so that a message fits into one Ethernet frame; more are dropped.
   static constexpr std::size_t kMaxReports = 40;
 
+  /// Targets at which work takes at least this multiple of the usual time are reported.
+  static constexpr double kMinSlowdown = 1.5;
+
+  void onSlowdown(const TargetId& aTarget, double aSlowdown);
+  bool receiveSlowdowns(std::string_view aPayload);
+  /// Sends a message to the zone and to one relay of the region's other zones.
+  template<class Message, class Encode>
+  void spread(Message aMessage, const Encode& aEncode);
   void sendBatch();
 
   HostType& mHost;
   const ZoneTopology& mZones;
   std::function<void(const TargetLoad&)> mOnLoad;
+  std::function<void(const TargetSlowdown&)> mOnSlowdown;
   Gossip<HostType>* mGossip = nullptr;
   /// Newest load of each target to be reported.
   std::map<TargetId, int> mBatch;
+  /// The same for slow targets.
+  std::map<TargetId, double> mSlowdowns;
   std::map<TargetId, TimePoint> mBusyUntil;
 };
 
@@ -60,6 +74,9 @@
 void LoadReportExchange<HostType>::onReport(const TargetId& aTarget, const LoadReport& aReport)
 {
   const TimePoint now = mHost.now();
+  if (mGossip != nullptr && aReport.mSlowdown && *aReport.mSlowdown >= kMinSlowdown) {
+    onSlowdown(aTarget, *aReport.mSlowdown);
+  }
   std::erase_if(mBusyUntil, [&](const std::pair<const TargetId, TimePoint>& aEntry) {
     return aEntry.second <= now;
   });
@@ -70,7 +87,7 @@
   if (aReport.isFull()) {
     mBusyUntil[aTarget] = now + kBusyDuration;
   }
-  if (mBatch.empty()) {
+  if (mBatch.empty() && mSlowdowns.empty()) {
     mHost.after(kBatchDelay, [this] { sendBatch(); });
   }
   if (mBatch.size() < kMaxReports || mBatch.contains(aTarget)) {
@@ -78,6 +95,28 @@
   }
 }
 
+template<class HostType>
+void LoadReportExchange<HostType>::onSlowdown(const TargetId& aTarget, double aSlowdown)
+{
+  if (mBatch.empty() && mSlowdowns.empty()) {
+    mHost.after(kBatchDelay, [this] { sendBatch(); });
+  }
+  if (mSlowdowns.size() < kMaxReports || mSlowdowns.contains(aTarget)) {
+    mSlowdowns[aTarget] = aSlowdown;
+  }
+}
+
+template<class HostType>
+template<class Message, class Encode>
+void LoadReportExchange<HostType>::spread(Message aMessage, const Encode& aEncode)
+{
+  sendToOwnZone(*mGossip, { aEncode(aMessage) });
+  aMessage.mForward = true;
+  sendToZoneRelays(*mGossip, mHost.random(), { aEncode(aMessage) }, [this](const ZoneName& aZone) {
+    return mZones.distance(aZone) == Distance::SameRegion;
+  });
+}
+
 template<class HostType>
 void LoadReportExchange<HostType>::sendBatch()
 {
@@ -85,12 +124,16 @@
   for (const auto& [target, requests] : std::exchange(mBatch, {})) {
     message.mLoads.push_back({ target, requests });
   }
-  sendToOwnZone(*mGossip, { encodeLoadReports(message) });
-  message.mForward = true;
-  sendToZoneRelays(
-    *mGossip, mHost.random(), { encodeLoadReports(message) }, [this](const ZoneName& aZone) {
-      return mZones.distance(aZone) == Distance::SameRegion;
-    });
+  if (!message.mLoads.empty()) {
+    spread(std::move(message), encodeLoadReports);
+  }
+  SlowdownMessage slowdowns;
+  for (const auto& [target, slowdown] : std::exchange(mSlowdowns, {})) {
+    slowdowns.mSlowdowns.push_back({ target, slowdown });
+  }
+  if (!slowdowns.mSlowdowns.empty()) {
+    spread(std::move(slowdowns), encodeSlowdowns);
+  }
 }
 
 template<class HostType>
@@ -98,7 +141,7 @@
 {
   std::optional<LoadReportMessage> message = decodeLoadReports(aPayload);
   if (!message) {
-    return false;
+    return receiveSlowdowns(aPayload);
   }
   for (const TargetLoad& load : message->mLoads) {
     mOnLoad(load);
@@ -109,4 +152,22 @@
   return true;
 }
 
+template<class HostType>
+bool LoadReportExchange<HostType>::receiveSlowdowns(std::string_view aPayload)
+{
+  std::optional<SlowdownMessage> message = decodeSlowdowns(aPayload);
+  if (!message) {
+    return false;
+  }
+  for (const TargetSlowdown& slowdown : message->mSlowdowns) {
+    if (mOnSlowdown) {
+      mOnSlowdown(slowdown);
+    }
+  }
+  if (std::exchange(message->mForward, false) && mGossip != nullptr) {
+    sendToOwnZone(*mGossip, { encodeSlowdowns(*message) });
+  }
+  return true;
+}
+
 } // namespace bulrushrun
--- a/bulrushrun/steering/PickQuery.h
+++ b/bulrushrun/steering/PickQuery.h
@@ -67,6 +67,8 @@
   const KnownTarget* mTarget = nullptr;
   /// Estimated requests in progress.
   double mLoad = 0;
+  /// How long work takes there, as a multiple of the usual time.
+  double mSlowdown = 1;
   /// Higher values come first.
   double mRank = 0;
   Distance mDistance = Distance::OtherRegion;
--- a/bulrushrun/steering/ProxiedRequest.h
+++ b/bulrushrun/steering/ProxiedRequest.h
@@ -75,10 +75,12 @@
   /// Its caller repeats a refused request before the time that it was told.
   bool mIsEarlyRepeat = false;
   /// Results of the last choice for a request that competes: expected time to the response, time
-  /// until there is room, whether the target has the object's data, and its slots.
+  /// until there is room, whether the target has the object's data, how long work takes
+  /// there as a multiple of the usual time, and its slots.
   std::optional<Duration> mExpected;
   std::optional<Duration> mUntilRoom;
   bool mIsWarm = true;
+  double mSlowdown = 1;
   int mSlots = 0;
   PickFailure mPickFailure = PickFailure::None;
   /// Why the last attempt failed or none was made, for the log.
--- a/bulrushrun/steering/RequestProxy.h
+++ b/bulrushrun/steering/RequestProxy.h
@@ -115,6 +115,14 @@
       mPicker.stats(aLoad.mTarget).onReport(aLoad.mRequests, mHost.now());
     }
   }
+  /// \brief Takes the speed of a target that another instance learned.
+  void onPeerSlowdown(const TargetSlowdown& aSlowdown)
+  {
+    const KnownTarget* target = mSteeringState.mTargets.find(aSlowdown.mTarget);
+    if (target != nullptr) {
+      onSlowdown(target->mEntry.mService, aSlowdown);
+    }
+  }
   /// \brief Sets the callback for rates that targets named, changed or no longer name.
   void setOnTargetRate(std::function<void(const TargetRate&)> aOnTargetRate)
   {
@@ -211,6 +219,7 @@
   static int effectivePriority(const Request& aRequest);
   const ServicePriorities& servicePriorities();
   std::optional<AdmissionTerms> makeTerms(Request& aRequest);
+  void onSlowdown(const ServiceName& aService, const TargetSlowdown& aSlowdown);
   void onPicked(Request& aRequest, const PickResult& aPick);
   void recordExecution(const Request& aRequest, Duration aElapsed);
   static std::uint64_t repeatHash(const Request& aRequest);
@@ -247,6 +256,8 @@
   std::map<std::string, ExecutionTimeLearner> mExecutionTimes;
   std::map<ServiceName, MedianEstimate> mQueuedTimes;
   EarlyRepeats mEarlyRepeats;
+  /// Services whose targets state how long work takes.
+  std::set<ServiceName> mSpeedReporters;
   AdmissionMetrics mAdmissionMetrics;
   std::map<std::string, WeightedRoundRobin> mServiceSplits;
   std::function<void(const TargetAttempt&)> mOnTargetUpdate;
--- a/bulrushrun/steering/RequestProxyCompetition.h
+++ b/bulrushrun/steering/RequestProxyCompetition.h
@@ -33,6 +33,9 @@
 std::optional<AdmissionTerms> RequestProxy<HostType, Codec>::makeTerms(Request& aRequest)
 {
   aRequest.mLevel = servicePriorities().levelOf(aRequest.mService, effectivePriority(aRequest));
+  if (!aRequest.mLevel && mSpeedReporters.contains(aRequest.mService)) {
+    aRequest.mLevel = PriorityLevel{};
+  }
   if (!aRequest.mLevel) {
     return std::nullopt;
   }
@@ -48,6 +51,15 @@
                          aRequest.mIsEarlyRepeat };
 }
 
+/// Takes how long work takes at a target.
+template<class HostType, class Codec>
+void RequestProxy<HostType, Codec>::onSlowdown(const ServiceName& aService,
+                                               const TargetSlowdown& aSlowdown)
+{
+  mSpeedReporters.insert(aService);
+  mPicker.stats(aSlowdown.mTarget).onSlowdown(aSlowdown.mSlowdown, mHost.now());
+}
+
 /// Keeps the inputs of the choice of a target, for the log and for learning.
 template<class HostType, class Codec>
 void RequestProxy<HostType, Codec>::onPicked(Request& aRequest, const PickResult& aPick)
@@ -60,6 +72,7 @@
   aRequest.mExpected = aPick.mExpected;
   aRequest.mUntilRoom = aPick.mUntilRoom;
   aRequest.mIsWarm = aPick.mIsWarm;
+  aRequest.mSlowdown = aPick.mSlowdown;
   aRequest.mSlots = aPick.mTarget == nullptr ? 0 : aPick.mTarget->mEntry.mSlots;
   aRequest.mPickFailure = aPick.mFailure;
   if (aPick.mExpected) {
@@ -72,9 +85,12 @@
 void RequestProxy<HostType, Codec>::recordExecution(const Request& aRequest, Duration aElapsed)
 {
   if (aRequest.mLevel && aRequest.mSlots > 0) {
+    if (aRequest.mExpected) {
+      mAdmissionMetrics.onCompleted(aRequest.mService, *aRequest.mExpected, aElapsed);
+    }
     ExecutionTimeLearner& learner = mExecutionTimes[aRequest.mRoute->mName];
     mQueuedTimes[aRequest.mService].add(
-      learner.add(aElapsed, aRequest.mLoad, aRequest.mSlots, aRequest.mIsWarm));
+      learner.add(aElapsed, aRequest.mLoad, aRequest.mSlots, aRequest.mIsWarm, aRequest.mSlowdown));
   }
 }
 
--- a/bulrushrun/steering/RequestProxyExchange.h
+++ b/bulrushrun/steering/RequestProxyExchange.h
@@ -84,6 +84,9 @@
   if (attempt.mMetadata.mRequestId) {
     if (attempt.mMetadata.mLoad) {
       mPicker.stats(attempt.mTarget).onReport(attempt.mMetadata.mLoad->total(), mHost.now());
+      if (attempt.mMetadata.mLoad->mSlowdown) {
+        onSlowdown(request->mService, { attempt.mTarget, *attempt.mMetadata.mLoad->mSlowdown });
+      }
       if (mOnLoadReport) {
         mOnLoadReport(attempt.mTarget, *attempt.mMetadata.mLoad);
       }
--- a/bulrushrun/steering/SteeringInstanceTables.h
+++ b/bulrushrun/steering/SteeringInstanceTables.h
@@ -64,9 +64,11 @@
                         Adapter::kInstanceTable,
                         aSettings.mPeerKeys,
                         [this] { return chooseReplicationPeer(true); } })
-  , mLoadReports(aHost,
-                 mSteeringState.mContext.mZones,
-                 [this](const TargetLoad& aLoad) { mProxy.onPeerLoad(aLoad); })
+  , mLoadReports(
+      aHost,
+      mSteeringState.mContext.mZones,
+      [this](const TargetLoad& aLoad) { mProxy.onPeerLoad(aLoad); },
+      [this](const TargetSlowdown& aSlowdown) { mProxy.onPeerSlowdown(aSlowdown); })
   , mTargetRates(aHost, [this](const TargetRate& aRate) { mProxy.onPeerRate(aRate); })
   , mDrain(aHost, drainCallbacks(std::move(aOnExit)))
 {
--- a/bulrushrun/steering/TargetCompetition.cpp
+++ b/bulrushrun/steering/TargetCompetition.cpp
@@ -32,18 +32,29 @@
   const std::vector<Candidate>& order = aOrder.mCandidates;
   PickResult result;
   bool isAnyBeforeDeadline = false;
-  const auto pass = [&](std::size_t aBegin, std::size_t aEnd, double aMaxLoadFactor, bool aInTime) {
+  const auto outlookOf = [&](std::size_t aPosition) {
+    const Candidate& candidate = order[aPosition];
+    return outlookAt(terms,
+                     candidate.mLoad,
+                     candidate.mTarget->mEntry.mSlots,
+                     aPosition < aOrder.mPrimariesEnd,
+                     candidate.mSlowdown);
+  };
+  const auto pass = [&](std::size_t aBegin,
+                        std::size_t aEnd,
+                        double aMaxLoadFactor,
+                        bool aInTime,
+                        Duration aBelow = Duration::max()) {
     for (std::size_t i = aBegin; i < aEnd; ++i) {
       const Candidate& candidate = order[i];
       const int slots = candidate.mTarget->mEntry.mSlots;
       if (!aAdmits(candidate)) {
         continue;
       }
-      const CompletionOutlook outlook =
-        outlookAt(terms, candidate.mLoad, slots, i < aOrder.mPrimariesEnd);
+      const CompletionOutlook outlook = outlookOf(i);
       isAnyBeforeDeadline = isAnyBeforeDeadline || outlook.mIsBeforeDeadline;
-      if (outlook.mIsBeforeDeadline && (outlook.mIsInTime || !aInTime) &&
-          candidate.mLoad + 1 <= aMaxLoadFactor * slots &&
+      if (outlook.mIsBeforeDeadline && outlook.mExpected < aBelow &&
+          (outlook.mIsInTime || !aInTime) && candidate.mLoad + 1 <= aMaxLoadFactor * slots &&
           take(aOrder, i, aQuery, aContext, aNow, result)) {
         result.mExpected = outlook.mExpected;
         return true;
@@ -51,22 +62,26 @@
     }
     return false;
   };
-  std::optional<double> other;
-  for (const bool isInTime : { true, false }) {
-    const std::size_t primariesEnd = aOrder.mPrimariesEnd;
-    if (pass(0, aOrder.mLocalEnd, kFreeSlotLoadFactor, isInTime) ||
-        pass(aOrder.mLocalEnd, primariesEnd, limit.atPrimary(isInTime), isInTime)) {
-      return result;
-    }
-    other = other ? other : QueueLimit::atOther(busyShare(order));
-    if (pass(primariesEnd, order.size(), *other, isInTime)) {
-      return result;
-    }
+  const std::size_t primariesEnd = aOrder.mPrimariesEnd;
+  if (pass(0, aOrder.mLocalEnd, kFreeSlotLoadFactor, true) ||
+      pass(aOrder.mLocalEnd, primariesEnd, limit.atPrimary(true), true)) {
+    return result;
+  }
+  const std::size_t end = order.size();
+  const double other = QueueLimit::atOther(busyShare(order));
+  const std::size_t primary = std::max<std::size_t>(primariesEnd, 1) - 1;
+  // A cold execution elsewhere may be faster only when the primary's machine is slow now.
+  const Duration below =
+    order[primary].mSlowdown > 1 ? outlookOf(primary).mExpected : Duration{ 0 };
+  if (pass(primariesEnd, end, other, true) || pass(primariesEnd, end, other, false, below) ||
+      pass(0, aOrder.mLocalEnd, kFreeSlotLoadFactor, false) ||
+      pass(aOrder.mLocalEnd, primariesEnd, limit.atPrimary(false), false) ||
+      pass(primariesEnd, end, other, false)) {
+    return result;
   }
   result.mFailure = isAnyBeforeDeadline ? PickFailure::AllBusy : PickFailure::TooLate;
-  const Candidate& primary = order[std::max<std::size_t>(aOrder.mPrimariesEnd, 1) - 1];
-  const int slots = std::max(primary.mTarget->mEntry.mSlots, 1);
-  const double excess = primary.mLoad + 1 - limit.atPrimary(true) * slots;
+  const int slots = std::max(order[primary].mTarget->mEntry.mSlots, 1);
+  const double excess = order[primary].mLoad + 1 - limit.atPrimary(true) * slots;
   result.mUntilRoom = fromSeconds(std::max(excess, 1.0) / slots * toSeconds(terms.mTimes.mQueued));
   return result;
 }
--- a/bulrushrun/steering/TargetPicker.cpp
+++ b/bulrushrun/steering/TargetPicker.cpp
@@ -15,6 +15,14 @@
          std::find(regions.begin(), regions.end(), aZones.regionOf(aZone)) != regions.end();
 }
 
+/// \returns a random part of one request, another one for each instance, target and time. Instances
+/// see a report at the same time and would all choose the target that it favours.
+double spread(const KnownTarget& aTarget, const PickContext& aContext, TimePoint aNow)
+{
+  return toUnitInterval(combineHashes(combineHashes(aContext.mInstanceHash, aTarget.mHash),
+                                      static_cast<std::uint64_t>(aNow.time_since_epoch().count())));
+}
+
 bool mayServe(const KnownTarget& aTarget, const PickQuery& aQuery, const PickContext& aContext)
 {
   const ZoneName& zone = aTarget.mEntry.mZone;
@@ -56,6 +64,7 @@
     Candidate candidate;
     candidate.mTarget = target;
     candidate.mLoad = stats.load(aNow);
+    candidate.mSlowdown = stats.slowdown(aNow);
     candidate.mDistance = location.mDistance;
     candidate.mRegion = location.mRegion;
     candidate.mReturned = static_cast<float>(mReturns.progress(stats.returning()));
@@ -65,6 +74,10 @@
       candidate.mRank = rendezvousScore(aQuery.mAffinityKey, target->mHash, weight * entry.mSlots);
     } else {
       candidate.mRank = -candidate.mLoad / entry.mSlots;
+      if (aQuery.mTerms) {
+        candidate.mRank =
+          -candidate.mSlowdown * (candidate.mLoad + spread(*target, aContext, aNow)) / entry.mSlots;
+      }
     }
     (isAvoided ? avoided : eligible).push_back(candidate);
   }
--- a/bulrushrun/steering/TargetPicker.h
+++ b/bulrushrun/steering/TargetPicker.h
@@ -82,6 +82,8 @@
   RegionChoice mRegionChoice = RegionChoice::Preferred;
   /// Expected time from sending to the response; empty without PickQuery::mTerms.
   std::optional<Duration> mExpected;
+  /// How long work takes at the target, as a multiple of the usual time.
+  double mSlowdown = 1;
   /// The target is expected to have the object's data.
   bool mIsWarm = true;
   /// When no target was picked: expected time until the preferred one has room for the request.
--- a/bulrushrun/steering/TargetSelection.cpp
+++ b/bulrushrun/steering/TargetSelection.cpp
@@ -48,6 +48,7 @@
   }
   aResult.mTarget = &target;
   aResult.mLoad = candidate.mLoad;
+  aResult.mSlowdown = candidate.mSlowdown;
   aResult.mPreferenceRank = aPosition + 1;
   aResult.mIsWarm = aPosition < aOrder.mPrimariesEnd;
   return true;
--- a/bulrushrun/steering/TargetStats.cpp
+++ b/bulrushrun/steering/TargetStats.cpp
@@ -4,6 +4,19 @@
 
 namespace bulrushrun {
 
+namespace {
+
+/// \returns the weight of a report: 1 up to the first age, falling to 0 at the second.
+double weightOf(Duration aAge, Duration aFullWeightAge, Duration aMaxAge)
+{
+  if (aAge <= aFullWeightAge) {
+    return 1;
+  }
+  return aAge < aMaxAge ? toSeconds(aMaxAge - aAge) / toSeconds(aMaxAge - aFullWeightAge) : 0;
+}
+
+} // namespace
+
 TargetStats::HealthChange TargetStats::onEnd(AttemptResult aResult, TimePoint aNow)
 {
   mInFlight = std::max(mInFlight - 1, 0);
@@ -49,14 +62,14 @@
 
 double TargetStats::load(TimePoint aNow) const
 {
-  const Duration age = aNow - mReportedAt;
-  double weight = 0;
-  if (age <= kReportFullWeightAge) {
-    weight = 1;
-  } else if (age < kReportMaxAge) {
-    weight = toSeconds(kReportMaxAge - age) / toSeconds(kReportMaxAge - kReportFullWeightAge);
-  }
-  return mInFlight + weight * mExternalLoad;
+  return mInFlight +
+         weightOf(aNow - mReportedAt, kReportFullWeightAge, kReportMaxAge) * mExternalLoad;
+}
+
+double TargetStats::slowdown(TimePoint aNow) const
+{
+  return 1 +
+         weightOf(aNow - mSlowdownAt, kSlowdownFullWeightAge, kSlowdownMaxAge) * (mSlowdown - 1);
 }
 
 } // namespace bulrushrun
--- a/bulrushrun/steering/TargetStats.h
+++ b/bulrushrun/steering/TargetStats.h
@@ -77,11 +77,20 @@
   void onCancelled() { mInFlight = std::max(mInFlight - 1, 0); }
   /// \brief Records the number of requests that the target reported, to this or another instance.
   void onReport(int aRequests, TimePoint aNow);
+  /// \brief Records how long work takes at the target, as a multiple of the usual time.
+  void onSlowdown(double aSlowdown, TimePoint aNow)
+  {
+    mSlowdown = aSlowdown;
+    mSlowdownAt = aNow;
+  }
 
   /// \brief \returns the requests of this instance in progress at the target.
   int inFlight() const { return mInFlight; }
   /// \brief \returns the estimated requests in progress, including those of other instances.
   double load(TimePoint aNow) const;
+  /// \brief \returns how long work is expected to take, as a multiple of the usual time; 1 without
+  /// a recent report.
+  double slowdown(TimePoint aNow) const;
   /// \brief \returns true when requests are in progress and the target has not responded for the
   /// timeout.
   bool isUnresponsive(Duration aTimeout, TimePoint aNow) const
@@ -103,6 +112,9 @@
   ReturnRamp::Target& returning() { return mReturning; }
 
 private:
+  /// A reported speed has full weight up to the first age; the weight falls to zero at the second.
+  static constexpr Duration kSlowdownFullWeightAge = std::chrono::milliseconds(100);
+  static constexpr Duration kSlowdownMaxAge = std::chrono::milliseconds(500);
   /// Attempts without a valid response, with no success between them, after which the target is
   /// ejected.
   static constexpr int kMaxConsecutiveFailures = 2;
@@ -123,6 +135,8 @@
   TimePoint mLastActivityAt;
   double mExternalLoad = 0;
   TimePoint mReportedAt;
+  double mSlowdown = 1;
+  TimePoint mSlowdownAt;
   int mConsecutiveFailures = 0;
   double mFailureRate = 0;
   Duration mEjectionDuration = kMinEjectionDuration;
--- a/bulrushrun/steering/tests/AdmissionTermsTest.cpp
+++ b/bulrushrun/steering/tests/AdmissionTermsTest.cpp
@@ -2,6 +2,7 @@
 #include "bulrushrun/steering/EarlyRepeats.h"
 #include "bulrushrun/steering/ReturnTime.h"
 #include "bulrushrun/steering/ServicePriorities.h"
+#include "bulrushrun/steering/TargetStats.h"
 
 #include <gtest/gtest.h>
 
@@ -53,6 +54,21 @@
   EXPECT_NEAR(toSeconds(learner.times(queued).mWarm), 0.17, 0.05);
 }
 
+/// Load: a slow machine. Guards against speeds that are trusted for longer than they last, and
+/// against slow executions that are learned as the usual ones.
+TEST(CompletionEstimateTest, SpeedsCountWhileTheyAreNewAndAreNotLearned)
+{
+  const TimePoint now{ std::chrono::seconds(100) };
+  TargetStats stats;
+  EXPECT_EQ(stats.slowdown(now), 1);
+  stats.onSlowdown(3, now);
+  EXPECT_EQ(stats.slowdown(now + milliseconds(100)), 3);
+  EXPECT_NEAR(stats.slowdown(now + milliseconds(300)), 2, 1e-6);
+  EXPECT_EQ(stats.slowdown(now + milliseconds(500)), 1);
+  ExecutionTimeLearner learner;
+  EXPECT_NEAR(toSeconds(learner.add(milliseconds(600), 0, 3, true, 3)), 0.2, 1e-5);
+}
+
 class ServicePrioritiesTest : public ::testing::Test
 {
 protected:
--- a/bulrushrun/steering/tests/LoadReportExchangeTest.cpp
+++ b/bulrushrun/steering/tests/LoadReportExchangeTest.cpp
@@ -84,5 +84,19 @@
   EXPECT_FALSE(decodeLoadReports(encodeLoadReports({ false, { { TargetId{}, 1 } } })));
 }
 
+/// Guards against speeds out of range, and against older instances that take a message for loads.
+TEST_F(LoadReportMessageTest, SlowdownsAreAKindOfTheirOwn)
+{
+  const std::string bytes = encodeSlowdowns({ true, { { TargetId{ "t1" }, 2.5 } } });
+  ASSERT_TRUE(decodeSlowdowns(bytes));
+  EXPECT_EQ(decodeSlowdowns(bytes)->mSlowdowns.front().mSlowdown, 2.5);
+  EXPECT_FALSE(decodeLoadReports(bytes));
+  for (std::size_t length = 0; length < bytes.size(); ++length) {
+    EXPECT_FALSE(decodeSlowdowns(bytes.substr(0, length))) << length;
+  }
+  EXPECT_FALSE(decodeSlowdowns(encodeSlowdowns({ false, { { TargetId{ "t1" }, 0 } } })));
+  EXPECT_FALSE(decodeSlowdowns(encodeSlowdowns({ false, { { TargetId{}, 2 } } })));
+}
+
 } // namespace
 } // namespace bulrushrun::steering_test
--- a/bulrushrun/steering/tests/ScarceCapacityTest.cpp
+++ b/bulrushrun/steering/tests/ScarceCapacityTest.cpp
@@ -87,6 +87,17 @@
   EXPECT_GE(inTime(*fleet), 0.85) << fleet->table();
 }
 
+/// Load: a tenth of the machines is four times as slow, another tenth every half second. Guards
+/// against requests that wait at slow machines while others are idle.
+TEST_F(ScarceCapacityTest, SlowMachinesGetLess)
+{
+  ScarceFleetOptions slow = options();
+  slow.mSlowShare = 0.1;
+  const double reported = inTime(*play(slow, 1));
+  slow.mReportSpeeds = false;
+  EXPECT_GE(reported, inTime(*play(slow, 1)) + 0.01);
+}
+
 /// Load: abusive callers that repeat each refused request five times at once. Guards against
 /// repeats that displace first attempts of other kinds.
 TEST_F(ScarceCapacityTest, AbusiveRepeatsDoNotDisplaceFirstAttempts)
--- a/bulrushrun/steering/tests/ScarceFleet.cpp
+++ b/bulrushrun/steering/tests/ScarceFleet.cpp
@@ -64,10 +64,22 @@
     sum += std::pow(object, -mOptions.mZipfExponent);
     mPopularity.push_back(sum);
   }
+  changeSpeeds();
   mDue.resize(mOptions.mKinds.size() * kRegions);
   reset();
 }
 
+void ScarceFleet::changeSpeeds()
+{
+  constexpr Duration kPeriod = std::chrono::milliseconds(500);
+  if (mOptions.mSlowShare > 0) {
+    for (auto& [id, target] : mTargets) {
+      target.mSlowdown = mRandom.chance(mOptions.mSlowShare) ? mOptions.mSlowdown : 1;
+    }
+    at(kPeriod, [this] { changeSpeeds(); });
+  }
+}
+
 void ScarceFleet::run(Duration aDuration)
 {
   constexpr double kPeriod = 36;
@@ -113,7 +125,7 @@
   Instance& instance = mInstances[aCall->mInstance];
   const RequestKind& kind = mOptions.mKinds[aCall->mKind];
   PickQuery query;
-  query.mAffinity = Affinity::Key;
+  query.mAffinity = mOptions.mWithoutKeys ? Affinity::None : Affinity::Key;
   query.mAffinityKey = aCall->mObject;
   query.mTriedTargets = aCall->mTried;
   if (mOptions.mCompete) {
@@ -191,7 +203,8 @@
   }
   target.mObjects.push_front(aCall->mObject);
   target.mObjects.resize(std::min(target.mObjects.size(), kRememberedObjects));
-  const double mean = share * toSeconds(mOptions.mKinds[aCall->mKind].mExecution);
+  const double mean =
+    target.mSlowdown * share * toSeconds(mOptions.mKinds[aCall->mKind].mExecution);
   at(fromSeconds(0.5 * mean + mRandom.exponential(0.5 * mean)),
      [this, aCall, aPick, aTarget, aSent] {
        Target& finished = mTargets.at(aTarget);
@@ -213,13 +226,25 @@
 {
   constexpr Duration kExchangeDelay = std::chrono::milliseconds(35);
   aInstance.mPicker->stats(aTarget).onReport(aLoad, mNow);
-  if (aLoad < mOptions.mSlots) {
+  const double slowdown = mTargets.at(aTarget).mSlowdown;
+  const bool isSlow = mOptions.mReportSpeeds && slowdown > 1;
+  if (mOptions.mReportSpeeds) {
+    aInstance.mPicker->stats(aTarget).onSlowdown(slowdown, mNow);
+  }
+  if (aLoad < mOptions.mSlots && !isSlow) {
     return;
   }
   for (Instance& other : mInstances) {
     if (other.mZone / 2 == aInstance.mZone / 2) {
-      at(kExchangeDelay,
-         [this, &other, aTarget, aLoad] { other.mPicker->stats(aTarget).onReport(aLoad, mNow); });
+      at(kExchangeDelay, [this, &other, aTarget, aLoad, isSlow, slowdown] {
+        TargetStats& stats = other.mPicker->stats(aTarget);
+        if (aLoad >= mOptions.mSlots) {
+          stats.onReport(aLoad, mNow);
+        }
+        if (isSlow) {
+          stats.onSlowdown(slowdown, mNow);
+        }
+      });
     }
   }
 }
@@ -234,8 +259,8 @@
   report(instance, aTarget, aLoad);
   instance.mPicker->stats(aTarget).onEnd(AttemptResult::Answered, mNow);
   instance.mLatency.add(mNow - aSent);
-  instance.mQueued.add(
-    instance.mTimes[aCall->mKind].add(mNow - aSent, aPick.mLoad, mOptions.mSlots, aPick.mIsWarm));
+  instance.mQueued.add(instance.mTimes[aCall->mKind].add(
+    mNow - aSent, aPick.mLoad, mOptions.mSlots, aPick.mIsWarm, aPick.mSlowdown));
   if (aCall->mIsExtra || mNow + kCallerDelay > aCall->mDeadline) {
     return;
   }
--- a/bulrushrun/steering/tests/ScarceFleet.h
+++ b/bulrushrun/steering/tests/ScarceFleet.h
@@ -55,6 +55,13 @@
   bool mCompete = true;
   /// Repeats that each refused caller of kind 0 sends at once, ignoring Retry-After.
   int mAbusiveRepeats = 0;
+  /// Share of the targets at which work takes mSlowdown times as long, chosen anew at random every
+  /// half second, and whether targets report it.
+  double mSlowShare = 0;
+  double mSlowdown = 4;
+  bool mReportSpeeds = true;
+  /// Requests have no affinity keys.
+  bool mWithoutKeys = false;
   /// Amplitude of the demand of each region around its mean; the period is 36 s.
   double mWave = 0;
   std::uint64_t mSeed = 1;
@@ -99,6 +106,7 @@
   {
     std::size_t mZone = 0;
     int mRunning = 0;
+    double mSlowdown = 1;
     std::deque<std::function<void()>> mQueue;
     /// Objects served last, newest first.
     std::deque<std::uint64_t> mObjects;
@@ -136,6 +144,7 @@
                   TimePoint aSent,
                   int aLoad);
   void onDeclined(const CallPtr& aCall, const TargetId& aTarget, int aLoad);
+  void changeSpeeds();
   void report(Instance& aInstance, const TargetId& aTarget, int aLoad);
   void refuse(const CallPtr& aCall, const std::optional<Duration>& aUntilRoom);
   Duration wayTo(const Instance& aInstance, const TargetId& aTarget) const;
