Admission by priority applies only to plans with customers and to services that report speeds

Cause: routes of one service have different priorities in earlier configurations, too. Change: the ranks apply when the plan names customers or the service's targets report their speed.

--- a/bulrushrun/steering/RequestProxyAdmission.h
+++ b/bulrushrun/steering/RequestProxyAdmission.h
@@ -19,7 +19,7 @@
   response.mHead.mHeaders = std::move(aHeaders);
   response.mHead.mHeaders.push_back({ "Content-Type", "text/plain" });
   if (aStatus == 503) {
-    const bool isElsewhere = aText == kShuttingDownText && servicePriorities().isCompetitive();
+    const bool isElsewhere = aText == kShuttingDownText && servicePriorities().hasCustomers();
     response.mHead.mHeaders.push_back(
       { "Retry-After", isElsewhere ? kElsewhereRetryAfter : kRefusalRetryAfter });
   }
--- a/bulrushrun/steering/RequestProxyCompetition.h
+++ b/bulrushrun/steering/RequestProxyCompetition.h
@@ -23,13 +23,11 @@
 template<class HostType, class Codec>
 std::optional<AdmissionTerms> RequestProxy<HostType, Codec>::makeTerms(Request& aRequest)
 {
-  aRequest.mLevel = servicePriorities().levelOf(aRequest.mService, aRequest.mPriority);
-  if (!aRequest.mLevel && mSpeedReporters.contains(aRequest.mService)) {
-    aRequest.mLevel = PriorityLevel{};
-  }
-  if (!aRequest.mLevel) {
+  // Different priorities alone change nothing: earlier configurations have them, too.
+  if (!servicePriorities().hasCustomers() && !mSpeedReporters.contains(aRequest.mService)) {
     return std::nullopt;
   }
+  aRequest.mLevel = servicePriorities().levelOf(aRequest.mService, aRequest.mPriority);
   const TimePoint now = mHost.now();
   if (aRequest.mTriedTargets.empty()) {
     aRequest.mIsEarlyRepeat = mEarlyRepeats.isEarly(repeatHash(aRequest), now);
--- a/bulrushrun/steering/ServicePriorities.cpp
+++ b/bulrushrun/steering/ServicePriorities.cpp
@@ -26,16 +26,14 @@
   }
   for (const auto& [service, ofService] : priorities) {
     mPriorities[service] = { ofService.begin(), ofService.end() };
-    mIsCompetitive = mIsCompetitive || mHasCustomers || ofService.size() > 1;
   }
 }
 
-std::optional<PriorityLevel> ServicePriorities::levelOf(const ServiceName& aService,
-                                                        int aPriority) const
+PriorityLevel ServicePriorities::levelOf(const ServiceName& aService, int aPriority) const
 {
   const auto found = mPriorities.find(aService);
-  if (found == mPriorities.end() || (!mHasCustomers && found->second.size() < 2)) {
-    return std::nullopt;
+  if (found == mPriorities.end()) {
+    return {};
   }
   const std::vector<int>& priorities = found->second;
   const auto next = std::upper_bound(priorities.begin(), priorities.end(), aPriority);
