Findings of the review: refusals that last, counts, tokens given back, waiting responses

Change: only the wait counts towards the deadline; a told time is not prolonged, and needs an affinity key; 503 until the members are known; and so on. Result: tests follow.

--- a/bulrushrun/net/HttpResponder.h
+++ b/bulrushrun/net/HttpResponder.h
@@ -42,11 +42,14 @@
   void abort();
   /// \brief \returns true when the caller has closed its connection; checks the socket.
   bool isDisconnected();
-  /// \brief States the size of a response that is still collected elsewhere.
-  /// \returns false when no more should be read for it until mOnWritable, because it waits for its
-  /// turn and too much is held
+  /// \brief Replaces the number of body bytes that the caller of this function holds for a
+  /// response. \returns false when no more should be read for it until mOnWritable, because it
+  /// waits for its turn and too much is held
   bool mayCollect(std::size_t aBytes);
 
+  /// \brief \returns true until it is the turn of this response on its connection.
+  bool isWaiting() const { return mWaiting != nullptr; }
+
   /// \brief Sends what has been written so far, and the rest as it is written: it is the turn of
   /// this response.
   void attach(h2o_req_t* aRequest);
--- a/bulrushrun/net/HttpServer.cpp
+++ b/bulrushrun/net/HttpServer.cpp
@@ -173,6 +173,11 @@
       : validateHead(*aRequest);
   if (error) {
     aRequest->http1_is_persistent = 0;
+    if (isHttp1) {
+      // Unread bytes behind the request are discarded when it ends: the kernel would reset the
+      // connection, and with it responses that the caller has not read yet.
+      mPipeline.watch(aRequest);
+    }
     respond(*responder, requestErrorResponse(*error));
     return 0;
   }
--- a/bulrushrun/quotas/QuotaExchange.h
+++ b/bulrushrun/quotas/QuotaExchange.h
@@ -51,6 +51,8 @@
   /// \brief Sends a report as soon as one is due, after a request found no token.
   void requestTokens();
 
+  /// \brief \returns true when the members of the fleet are known.
+  bool hasMembers() const { return mGossip != nullptr; }
   QuotaHolder& holder() { return mHolder; }
   const QuotaHolder& holder() const { return mHolder; }
   const QuotaCoordinator& coordinator() const { return mCoordinator; }
--- a/bulrushrun/quotas/QuotaGate.h
+++ b/bulrushrun/quotas/QuotaGate.h
@@ -175,6 +175,9 @@
   if (!limit) {
     return {};
   }
+  if (!mExchange->hasMembers()) {
+    return { QuotaDecision::NotJoined, {} };
+  }
   const TimePoint now = mHost.now();
   QuotaHolder& holder = mExchange->holder();
   const Duration hold = maxHold(aRequest, now);
@@ -200,8 +203,9 @@
   };
   mExchange->requestTokens();
   mOnDecision = onDecision;
+  // Their responses may close connections, and with them end the new request.
   for (const auto& [id, other] : others) {
-    mOnDecision(id, other);
+    mHost.after(Duration{ 0 }, [this, id = id, other = other] { mOnDecision(id, other); });
   }
   if (answer) {
     return *answer;
@@ -224,7 +228,7 @@
   if (isFirst || aNow - logged->second >= kLogPeriod) {
     logged->second = aNow;
     mHost.log(events::kQuotaExceeded,
-              "customer=" + limit->mName.text() + " per_second=" + std::to_string(limit->mRate) +
+              "customer=" + logText(limit->mName) + " per_second=" + std::to_string(limit->mRate) +
                 " burst=" + std::to_string(limit->mBurst) +
                 " alone=" + std::to_string(mExchange->holder().isAlone() ? 1 : 0));
   }
--- a/bulrushrun/quotas/QuotaGateWaiting.h
+++ b/bulrushrun/quotas/QuotaGateWaiting.h
@@ -30,8 +30,8 @@
   }
 }
 
-/// Serves requests from the own accrual, which comes without grants, and refuses those that have
-/// waited for too long.
+/// Serves requests from the own accrual and from tokens that were given back, which come without
+/// grants, and refuses those that have waited for too long.
 template<class HostType>
 void QuotaGate<HostType>::check()
 {
@@ -40,11 +40,9 @@
     return;
   }
   const TimePoint now = mHost.now();
-  if (mExchange->holder().isAlone()) {
-    const std::vector<WaitingRequest> held = mWaiting.all();
-    for (const WaitingRequest& request : held) {
-      serve(request.mLimit);
-    }
+  const std::vector<WaitingRequest> held = mWaiting.all();
+  for (const WaitingRequest& request : held) {
+    serve(request.mLimit);
   }
   for (const WaitingRequest& request : mWaiting.expired(now)) {
     if (mExchange && mLimits->find(request.mLimit) != nullptr) {
--- a/bulrushrun/quotas/QuotaHolder.h
+++ b/bulrushrun/quotas/QuotaHolder.h
@@ -30,6 +30,8 @@
   /// A token may come soon.
   NoToken,
   Refused,
+  /// The other instances are not known yet, so that nothing is known of the quota either.
+  NotJoined,
 };
 
 /// \brief Counts of one instance since its start.
@@ -155,7 +157,7 @@
   std::optional<TimePoint> mUnansweredSince;
   TimePoint mReportedAt;
   /// Factor of the report period, so that the instances' reports do not arrive together.
-  double mPeriodFactor = 0;
+  double mPeriodFactor = 1;
   bool mUrgent = false;
   bool mActive = false;
   Duration mRoundTrip = std::chrono::milliseconds(50);
--- a/bulrushrun/steering/AdmissionTerms.h
+++ b/bulrushrun/steering/AdmissionTerms.h
@@ -26,6 +26,9 @@
 };
 
 /// \brief \returns what is expected of a target with this load.
+///
+/// Only the wait counts towards the deadline: it ends as the queue drains, while a learned
+/// execution time beyond the deadline would refuse all requests and get no sample that corrects it.
 /// \param aSlowdown  how long work takes there now, as a multiple of the usual time
 inline CompletionOutlook outlookAt(const AdmissionTerms& aTerms,
                                    double aLoad,
@@ -34,7 +37,9 @@
                                    double aSlowdown)
 {
   const Duration expected = expectedCompletion(aLoad, aSlots, aIsWarm, aTerms.mTimes, aSlowdown);
-  return { expected, expected <= aTerms.mToLatencyTarget, expected <= aTerms.mToDeadline };
+  const Duration wait =
+    fromSeconds(toSeconds(expectedWait(aLoad, aSlots, aTerms.mTimes.mQueued)) * aSlowdown);
+  return { expected, expected <= aTerms.mToLatencyTarget, wait <= aTerms.mToDeadline };
 }
 
 /// \brief \returns the limits for a request; those of early repeats are the least urgent ones.
--- a/bulrushrun/steering/EarlyRepeats.h
+++ b/bulrushrun/steering/EarlyRepeats.h
@@ -17,12 +17,15 @@
 class EarlyRepeats
 {
 public:
-  /// \brief A request was refused and told to return at a time.
-  void onRefused(std::uint64_t aRequest, TimePoint aReturnAt)
+  /// \brief A request was refused and told to return at a time. A time that was told before and has
+  /// not passed stays: otherwise different callers of a popular object, all refused, would prolong
+  /// it without end.
+  void onRefused(std::uint64_t aRequest, TimePoint aReturnAt, TimePoint aNow)
   {
     Entry& entry = mEntries.at(aRequest % kEntries);
-    const int arrivals = entry.mRequest == aRequest ? entry.mEarlyArrivals : 0;
-    entry = { aRequest, aReturnAt, arrivals };
+    if (entry.mRequest != aRequest || aNow >= entry.mReturnAt) {
+      entry = { aRequest, aReturnAt, 0 };
+    }
   }
   /// \brief Counts an arrival. \returns true when it is one of several before the stated time
   bool isEarly(std::uint64_t aRequest, TimePoint aNow)
--- a/bulrushrun/steering/RequestProxyCompetition.h
+++ b/bulrushrun/steering/RequestProxyCompetition.h
@@ -102,7 +102,10 @@
   const TimePoint now = mHost.now();
   const Duration untilRoom = aRequest.mUntilRoom.value_or(mQueuedTimes[aRequest.mService].value());
   const Duration delay = returnTime(untilRoom, aRequest.mDeadline - now, mHost.random().unit());
-  mEarlyRepeats.onRefused(repeatHash(aRequest), now + delay);
+  // Without a key, requests of many callers look alike.
+  if (aRequest.mMetadata.mAffinityKey) {
+    mEarlyRepeats.onRefused(repeatHash(aRequest), now + delay, now);
+  }
   return delay;
 }
 
--- a/bulrushrun/steering/RequestProxyExchange.h
+++ b/bulrushrun/steering/RequestProxyExchange.h
@@ -126,9 +126,14 @@
   attempt.mBody.append(aBytes);
   if (attempt.mBody.size() > kMaxBufferedResponseBytes) {
     startStreaming(*request);
-    return request->mResponder->mayCollect(0);
+    // A response that waits for its turn holds what has been read, and nothing more.
+    return !request->mResponder->isWaiting();
   }
-  return request->mResponder->mayCollect(attempt.mBody.size());
+  const bool mayCollect = request->mResponder->mayCollect(attempt.mBody.size());
+  // A pause after the last byte would delay the end of the attempt, and its time would count as the
+  // target's.
+  const std::optional<std::uint64_t>& length = attempt.mHead->mLength;
+  return mayCollect || (length && attempt.mBody.size() >= *length);
 }
 
 /// Ends an attempt whose response can't be used; the rest of the response is not read.
--- a/bulrushrun/steering/RequestProxyQuota.h
+++ b/bulrushrun/steering/RequestProxyQuota.h
@@ -30,6 +30,11 @@
     case QuotaDecision::Refused:
       refuseOverQuota(aRequest, answer.mRetryAfter);
       break;
+    case QuotaDecision::NotJoined:
+      aRequest.mReason = "this instance does not know the others yet; use another one";
+      aRequest.mStateMachine.apply(RequestEvent::Admitted);
+      apply(aRequest.mId, RequestEvent::Refused);
+      break;
   }
 }
 
@@ -55,9 +60,10 @@
 {
   constexpr int kTooManyRequests = 429;
   ++mCounters.mRefused;
+  mCustomerMetrics.onRefusal(aRequest.mCustomer->mName);
   std::array<char, 16> seconds{};
   std::snprintf(seconds.data(), seconds.size(), "%.3f", toSeconds(aRetryAfter));
-  aRequest.mReason = "over the quota of customer " + aRequest.mCustomer->mName.text();
+  aRequest.mReason = "over the quota of the customer";
   sendLocalResponse(aRequest,
                     kTooManyRequests,
                     { { "Retry-After", seconds.data() } },
--- a/bulrushrun/steering/TargetCompetition.cpp
+++ b/bulrushrun/steering/TargetCompetition.cpp
@@ -32,6 +32,7 @@
   const std::vector<Candidate>& order = aOrder.mCandidates;
   PickResult result;
   bool isAnyBeforeDeadline = false;
+  bool isAnyAdmitted = false;
   const auto outlookOf = [&](std::size_t aPosition) {
     const Candidate& candidate = order[aPosition];
     return outlookAt(terms,
@@ -51,6 +52,7 @@
       if (!aAdmits(candidate)) {
         continue;
       }
+      isAnyAdmitted = true;
       const CompletionOutlook outlook = outlookOf(i);
       isAnyBeforeDeadline = isAnyBeforeDeadline || outlook.mIsBeforeDeadline;
       if (outlook.mIsBeforeDeadline && outlook.mExpected < aBelow &&
@@ -79,7 +81,8 @@
       pass(primariesEnd, end, other, false)) {
     return result;
   }
-  result.mFailure = isAnyBeforeDeadline ? PickFailure::AllBusy : PickFailure::TooLate;
+  result.mFailure =
+    isAnyBeforeDeadline || !isAnyAdmitted ? PickFailure::AllBusy : PickFailure::TooLate;
   const int slots = std::max(order[primary].mTarget->mEntry.mSlots, 1);
   const double excess = order[primary].mLoad + 1 - limit.atPrimary(true) * slots;
   result.mUntilRoom = fromSeconds(std::max(excess, 1.0) / slots * toSeconds(terms.mTimes.mQueued));
--- a/bulrushrun/steering/tests/AdmissionTermsTest.cpp
+++ b/bulrushrun/steering/tests/AdmissionTermsTest.cpp
@@ -125,7 +125,7 @@
   const TimePoint now{ std::chrono::seconds(100) };
   EarlyRepeats repeats;
   EXPECT_FALSE(repeats.isEarly(7, now));
-  repeats.onRefused(7, now + milliseconds(100));
+  repeats.onRefused(7, now + milliseconds(100), now);
   EXPECT_FALSE(repeats.isEarly(7, now + milliseconds(10)));
   EXPECT_TRUE(repeats.isEarly(7, now + milliseconds(20)));
   EXPECT_FALSE(repeats.isEarly(8, now + milliseconds(20)));
@@ -133,6 +133,34 @@
   EXPECT_FALSE(repeats.isEarly(7, now + milliseconds(101))) << "forgotten";
 }
 
+/// Load: a popular object whose callers are refused one after the other. Guards against first
+/// attempts that count as repeats for as long as others are refused.
+TEST(EarlyRepeatsTest, RefusalsOfOtherCallersDoNotProlongTheTime)
+{
+  const TimePoint start{ std::chrono::seconds(100) };
+  EarlyRepeats repeats;
+  int early = 0;
+  for (int i = 0; i < 100; ++i) {
+    const TimePoint now = start + i * milliseconds(100);
+    early += repeats.isEarly(7, now) ? 1 : 0;
+    repeats.onRefused(7, now + milliseconds(150), now);
+  }
+  EXPECT_EQ(early, 0);
+}
+
+/// Load: executions that were once longer than the callers' deadline. Guards against a route that
+/// is refused for good, because no request is sent that would show that it is faster again.
+TEST(CompletionEstimateTest, LongExecutionsAloneDoNotRuleOutATarget)
+{
+  AdmissionTerms terms;
+  terms.mTimes = { std::chrono::seconds(3), std::chrono::seconds(3), std::chrono::seconds(3) };
+  terms.mToLatencyTarget = milliseconds(400);
+  terms.mToDeadline = std::chrono::seconds(2);
+  EXPECT_TRUE(outlookAt(terms, 0, 3, true, 1).mIsBeforeDeadline);
+  EXPECT_FALSE(outlookAt(terms, 0, 3, true, 1).mIsInTime);
+  EXPECT_FALSE(outlookAt(terms, 9, 3, true, 1).mIsBeforeDeadline) << "a wait of 6 s";
+}
+
 /// Load: many callers refused together. Guards against their return at one time, and against a time
 /// after which callers do not return.
 TEST(ReturnTimeTest, IsSpreadAndWithinTheRemainingTime)
--- a/bulrushrun/steering/tests/FleetSimulation.h
+++ b/bulrushrun/steering/tests/FleetSimulation.h
@@ -28,6 +28,7 @@
   void abort() { end(false); }
   bool isDisconnected() { return mDisconnected; }
   static bool mayCollect(std::size_t) { return true; }
+  static bool isWaiting() { return false; }
 
   std::function<void()> mOnWritable;
   std::function<void()> mOnDisconnect;
--- a/bulrushrun/steering/tests/ScarceFleet.cpp
+++ b/bulrushrun/steering/tests/ScarceFleet.cpp
@@ -296,7 +296,7 @@
     mOptions.mCompete
       ? returnTime(aUntilRoom.value_or(instance.mQueued.value()), remaining, mRandom.unit())
       : fromSeconds(toSeconds(latency) * (0.5 + mRandom.unit()));
-  instance.mRepeats.onRefused(aCall->mObject + aCall->mKind, mNow + delay);
+  instance.mRepeats.onRefused(aCall->mObject + aCall->mKind, mNow + delay, mNow);
   if (aCall->mIsExtra) {
     return;
   }
