Reading of the diff: usual names, comments that add the reason; two functions are shorter

Change: selectByPriority for compete, loadJitter and broadcastToRegion for spread, setBodyBytes for hold, hasEnded for isOver; limitPipeline and timeUntilRoom are functions of their own. No behaviour changed.

--- a/bulrushrun/customers/PresentedKey.h
+++ b/bulrushrun/customers/PresentedKey.h
@@ -9,9 +9,9 @@
 {
   /// No key at all.
   Missing,
-  /// Something that is no key.
+  /// Credentials that are not of the expected form.
   Malformed,
-  /// More than one key, be they equal or not.
+  /// More than one credentials field, even if the values are equal.
   Repeated,
   /// One key, known or not.
   WellFormed,
--- a/bulrushrun/net/HttpResponder.cpp
+++ b/bulrushrun/net/HttpResponder.cpp
@@ -70,7 +70,7 @@
 
 bool HttpResponder::mayCollect(std::size_t aBytes)
 {
-  return mWaiting == nullptr || mWaiting->hold(aBytes);
+  return mWaiting == nullptr || mWaiting->setBodyBytes(aBytes);
 }
 
 void HttpResponder::onProceed(h2o_generator_t* aGenerator, h2o_req_t*)
@@ -169,8 +169,8 @@
   }
   mPending.append(aBytes);
   if (mWaiting != nullptr) {
-    return mWaiting->hold(mPending.size()) ? mPending.size()
-                                           : std::max(mPending.size(), kStreamBufferBytes);
+    return mWaiting->setBodyBytes(mPending.size()) ? mPending.size()
+                                                   : std::max(mPending.size(), kStreamBufferBytes);
   }
   flush();
   return mPending.size() + mSending.size();
--- a/bulrushrun/net/HttpResponder.h
+++ b/bulrushrun/net/HttpResponder.h
@@ -56,7 +56,7 @@
   /// \brief Ends a waiting response whose connection is gone.
   void abandon();
   /// \brief \returns true when the request is over.
-  bool isOver() const { return mDetached; }
+  bool hasEnded() const { return mDetached; }
 
   /// \brief Runs when the buffered bytes have been sent.
   std::function<void()> mOnWritable;
@@ -97,6 +97,7 @@
   bool mAborted = false;
   bool mDetached = false;
   /// The connection ends after this response even if requests behind it were started.
+  /// The connection ends after this response, even if requests behind it were started.
   bool mMustClose = false;
 };
 
--- a/bulrushrun/net/HttpServer.cpp
+++ b/bulrushrun/net/HttpServer.cpp
@@ -189,7 +189,7 @@
   }
   request.mBody = takeBody(*aRequest, *responder);
   mHandlers.mRequest(std::move(request), responder);
-  if (isHttp1 && !responder->isOver()) {
+  if (isHttp1 && !responder->hasEnded()) {
     mPipeline.watch(aRequest);
   }
   return 0;
--- a/bulrushrun/net/PipelinedConnection.cpp
+++ b/bulrushrun/net/PipelinedConnection.cpp
@@ -119,7 +119,7 @@
   ++mCurrentNumber;
   mKernelBytes = 0;
   setAtLimit(false);
-  void* reference = h2o_mem_alloc_shared(&aRequest->pool, sizeof(void*), onCurrentOver);
+  void* reference = h2o_mem_alloc_shared(&aRequest->pool, sizeof(void*), onCurrentDisposed);
   *static_cast<void**>(reference) = this;
   if (!mayReadAhead()) {
     return;
@@ -132,7 +132,7 @@
 }
 
 /// Runs when h2o frees the request: before it reads on, or closes the connection.
-void PipelinedConnection::onCurrentOver(void* aReference)
+void PipelinedConnection::onCurrentDisposed(void* aReference)
 {
   static_cast<PipelinedConnection*>(*static_cast<void**>(aReference))->unwatch();
 }
--- a/bulrushrun/net/PipelinedConnection.h
+++ b/bulrushrun/net/PipelinedConnection.h
@@ -77,7 +77,7 @@
 
   static void onReadable(h2o_socket_t* aSocket, const char* aError);
   static void onClosed(void* aConnection);
-  static void onCurrentOver(void* aReference);
+  static void onCurrentDisposed(void* aReference);
 
   bool mayReadAhead() const;
   void readAhead();
--- a/bulrushrun/net/RequestPipeline.cpp
+++ b/bulrushrun/net/RequestPipeline.cpp
@@ -45,7 +45,7 @@
 {
   const std::optional<std::size_t> size = mMayRunAhead ? bufferedSize(*aRequest) : std::nullopt;
   h2o_socket_t* socket = socketOf(*aRequest);
-  // The last request of a connection: nothing behind it may be started.
+  // The connection ends after this request and has no state yet, so there is nothing to watch.
   const bool isFirstAndLast =
     aRequest->http1_is_persistent == 0 && PipelinedConnection::find(socket) == nullptr;
   if (!size || isFirstAndLast) {
--- a/bulrushrun/net/WaitingResponse.cpp
+++ b/bulrushrun/net/WaitingResponse.cpp
@@ -17,10 +17,10 @@
   for (const Header& header : aHead.mHeaders) {
     mHeadBytes += sizeof(Header) + header.mName.size() + header.mValue.size();
   }
-  hold(0);
+  setBodyBytes(0);
 }
 
-bool WaitingResponse::hold(std::size_t aBytes)
+bool WaitingResponse::setBodyBytes(std::size_t aBytes)
 {
   const std::size_t bytes = mHeadBytes + aBytes;
   mConnection.changeHeldBytes(std::exchange(mHeldBytes, bytes), bytes);
--- a/bulrushrun/net/WaitingResponse.h
+++ b/bulrushrun/net/WaitingResponse.h
@@ -29,7 +29,7 @@
   /// \brief Sets the number of bytes of the body that are held.
   /// \returns false when the connection or the process holds too much, so that no more should be
   /// read
-  bool hold(std::size_t aBytes);
+  bool setBodyBytes(std::size_t aBytes);
   /// \brief \returns true when the caller has closed the connection; checks the socket.
   bool isDisconnected() const;
 
--- a/bulrushrun/quotas/QuotaGate.h
+++ b/bulrushrun/quotas/QuotaGate.h
@@ -102,6 +102,7 @@
   std::function<void()> mApplyMembers;
   WaitingRequests mWaiting;
   bool mCheckScheduled = false;
+  /// By limit id: when a refusal was last logged.
   std::unordered_map<std::uint64_t, TimePoint> mLoggedAt;
   QuotaRefusals mRefusals;
 };
--- a/bulrushrun/quotas/QuotaTiming.h
+++ b/bulrushrun/quotas/QuotaTiming.h
@@ -10,8 +10,8 @@
 /// \brief Times of the exchange between the instances and the coordinator of quotas.
 struct QuotaTiming
 {
-  /// Reports per second that the coordinator gets from all instances without demand beyond what was
-  /// expected; up to 75 instances report four times a second.
+  /// Periodic reports per second that the coordinator gets from all instances; up to 75 instances
+  /// report four times a second. Urgent reports come on top.
   static constexpr double kReportsPerSecond = 300;
   static constexpr Duration kMinReportPeriod = std::chrono::milliseconds(250);
   static constexpr Duration kMaxReportPeriod = std::chrono::seconds(2);
--- a/bulrushrun/quotas/TokenAccount.h
+++ b/bulrushrun/quotas/TokenAccount.h
@@ -33,6 +33,7 @@
   {
     TimePoint mExpires;
     std::uint64_t mCount = 0;
+    /// Granted by a coordinator, to which its use is reported.
     bool mCounted = false;
   };
 
--- a/bulrushrun/steering/LoadReportExchange.h
+++ b/bulrushrun/steering/LoadReportExchange.h
@@ -55,7 +55,7 @@
   bool receiveSlowdowns(std::string_view aPayload);
   /// Sends a message to the zone and to one relay of the region's other zones.
   template<class Message, class Encode>
-  void spread(Message aMessage, const Encode& aEncode);
+  void broadcastToRegion(Message aMessage, const Encode& aEncode);
   void sendBatch();
 
   HostType& mHost;
@@ -108,7 +108,7 @@
 
 template<class HostType>
 template<class Message, class Encode>
-void LoadReportExchange<HostType>::spread(Message aMessage, const Encode& aEncode)
+void LoadReportExchange<HostType>::broadcastToRegion(Message aMessage, const Encode& aEncode)
 {
   sendToOwnZone(*mGossip, { aEncode(aMessage) });
   aMessage.mForward = true;
@@ -125,14 +125,14 @@
     message.mLoads.push_back({ target, requests });
   }
   if (!message.mLoads.empty()) {
-    spread(std::move(message), encodeLoadReports);
+    broadcastToRegion(std::move(message), encodeLoadReports);
   }
   SlowdownMessage slowdowns;
   for (const auto& [target, slowdown] : std::exchange(mSlowdowns, {})) {
     slowdowns.mSlowdowns.push_back({ target, slowdown });
   }
   if (!slowdowns.mSlowdowns.empty()) {
-    spread(std::move(slowdowns), encodeSlowdowns);
+    broadcastToRegion(std::move(slowdowns), encodeSlowdowns);
   }
 }
 
--- a/bulrushrun/steering/ProxiedRequest.h
+++ b/bulrushrun/steering/ProxiedRequest.h
@@ -60,7 +60,8 @@
   int mPriority = 0;
   /// Regions in which the request may be served: those that the route and the customer share.
   HomeRegions mHomeRegions;
-  /// When the token of the customer's quota was taken that no execution has used so far.
+  /// When the unused token of the customer's quota was taken; empty when there is none, or an
+  /// attempt has used it.
   std::optional<TimePoint> mTokenTakenAt;
   TimePoint mArrived;
   /// The earlier of the caller's deadline and the route's timeout.
--- a/bulrushrun/steering/TargetCompetition.cpp
+++ b/bulrushrun/steering/TargetCompetition.cpp
@@ -19,13 +19,21 @@
   return static_cast<double>(busy) / static_cast<double>(aCandidates.size());
 }
 
+/// \returns the expected time until the target's queue is below a limit, in requests a slot.
+Duration timeUntilRoom(const TargetCandidate& aCandidate, double aLimit, Duration aQueuedExecution)
+{
+  const int slots = std::max(aCandidate.mTarget->mEntry.mSlots, 1);
+  const double excess = aCandidate.mLoad + 1 - aLimit * slots;
+  return fromSeconds(std::max(excess, 1.0) / slots * toSeconds(aQueuedExecution));
+}
+
 } // namespace
 
-PickResult TargetPicker::compete(const CandidateOrder& aOrder,
-                                 const std::function<bool(const Candidate&)>& aAdmits,
-                                 const PickQuery& aQuery,
-                                 const PickContext& aContext,
-                                 TimePoint aNow)
+PickResult TargetPicker::selectByPriority(const CandidateOrder& aOrder,
+                                          const std::function<bool(const Candidate&)>& aAdmits,
+                                          const PickQuery& aQuery,
+                                          const PickContext& aContext,
+                                          TimePoint aNow)
 {
   const AdmissionTerms& terms = *aQuery.mTerms;
   const QueueLimit limit = queueLimit(terms);
@@ -83,9 +91,7 @@
   }
   result.mFailure =
     isAnyBeforeDeadline || !isAnyAdmitted ? PickFailure::AllBusy : PickFailure::TooLate;
-  const int slots = std::max(order[primary].mTarget->mEntry.mSlots, 1);
-  const double excess = order[primary].mLoad + 1 - limit.atPrimary(true) * slots;
-  result.mUntilRoom = fromSeconds(std::max(excess, 1.0) / slots * toSeconds(terms.mTimes.mQueued));
+  result.mUntilRoom = timeUntilRoom(order[primary], limit.atPrimary(true), terms.mTimes.mQueued);
   return result;
 }
 
--- a/bulrushrun/steering/TargetPicker.cpp
+++ b/bulrushrun/steering/TargetPicker.cpp
@@ -15,7 +15,7 @@
 
 /// \returns a random part of one request, another one for each instance, target and time. Instances
 /// see a report at the same time and would all choose the target that it favours.
-double spread(const KnownTarget& aTarget, const PickContext& aContext, TimePoint aNow)
+double loadJitter(const KnownTarget& aTarget, const PickContext& aContext, TimePoint aNow)
 {
   return toUnitInterval(combineHashes(combineHashes(aContext.mInstanceHash, aTarget.mHash),
                                       static_cast<std::uint64_t>(aNow.time_since_epoch().count())));
@@ -73,8 +73,8 @@
     } else {
       candidate.mRank = -candidate.mLoad / entry.mSlots;
       if (aQuery.mTerms) {
-        candidate.mRank =
-          -candidate.mSlowdown * (candidate.mLoad + spread(*target, aContext, aNow)) / entry.mSlots;
+        candidate.mRank = -candidate.mSlowdown *
+                          (candidate.mLoad + loadJitter(*target, aContext, aNow)) / entry.mSlots;
       }
     }
     (isAvoided ? avoided : eligible).push_back(candidate);
--- a/bulrushrun/steering/TargetPicker.h
+++ b/bulrushrun/steering/TargetPicker.h
@@ -200,11 +200,11 @@
                     TimePoint aNow);
   /// \brief As select(), for requests that compete by priority: targets at which the request is
   /// expected to be in time come first, and the limits depend on its priority.
-  PickResult compete(const CandidateOrder& aOrder,
-                     const std::function<bool(const Candidate&)>& aAdmits,
-                     const PickQuery& aQuery,
-                     const PickContext& aContext,
-                     TimePoint aNow);
+  PickResult selectByPriority(const CandidateOrder& aOrder,
+                              const std::function<bool(const Candidate&)>& aAdmits,
+                              const PickQuery& aQuery,
+                              const PickContext& aContext,
+                              TimePoint aNow);
   /// Takes a candidate unless it is cold, or limited to a rate, and this instance's quota is used
   /// up.
   bool take(const CandidateOrder& aOrder,
--- a/bulrushrun/steering/TargetSelection.cpp
+++ b/bulrushrun/steering/TargetSelection.cpp
@@ -63,7 +63,7 @@
                                 TimePoint aNow)
 {
   if (aQuery.mTerms) {
-    return compete(aOrder, aAdmits, aQuery, aContext, aNow);
+    return selectByPriority(aOrder, aAdmits, aQuery, aContext, aNow);
   }
   PickResult result;
   const std::vector<Candidate>& order = aOrder.mCandidates;
--- a/daemon/platform_main.cpp
+++ b/daemon/platform_main.cpp
@@ -90,6 +90,19 @@
   aLoop.setAfterEvents([&aThrottle] { aThrottle.update(); });
 }
 
+/// Bounds the responses that wait for their turn on callers' connections.
+void limitPipeline(EventLoopHost& aHost,
+                   PlatformInstance& aInstance,
+                   RequestPipeline& aPipeline,
+                   std::size_t aMemoryMegabytes)
+{
+  aPipeline.setProcessLimit(aMemoryMegabytes * 1024 * 1024 / kWaitingResponsesDivisor);
+  aPipeline.setOnEvent(
+    [&aHost](const Event& aEvent, const std::string& aText) { aHost.log(aEvent, aText); });
+  aInstance.setConnectionMetrics(
+    [&aPipeline](std::string& aText) { aPipeline.renderMetrics(aText); });
+}
+
 int runDaemon(const SteeringSettings& aSettings, const std::string& aPath)
 {
   EventLoop loop;
@@ -121,12 +134,7 @@
                   [&](const HttpRequest& aRequest) { return instance->mayRunAhead(aRequest); } },
     maxBodyBytes);
   limitInput(loop, host, callerServer->inputThrottle(), maxBodyBytes);
-  RequestPipeline& pipeline = callerServer->pipeline();
-  pipeline.setProcessLimit(aSettings.mMemoryMegabytes * 1024 * 1024 / kWaitingResponsesDivisor);
-  pipeline.setOnEvent(
-    [&host](const Event& aEvent, const std::string& aText) { host.log(aEvent, aText); });
-  instance->setConnectionMetrics(
-    [&pipeline](std::string& aText) { pipeline.renderMetrics(aText); });
+  limitPipeline(host, *instance, callerServer->pipeline(), aSettings.mMemoryMegabytes);
   const auto makeServer = [&loop](const Endpoint& aEndpoint, RequestHandler aHandler) {
     return std::make_unique<HttpServer>(
       loop, aEndpoint, HttpHandlers{ nullptr, std::move(aHandler) }, kMaxControlBodyBytes);
