--- a/bulrushrun/steering/TargetCompetition.cpp
+++ b/bulrushrun/steering/TargetCompetition.cpp
@@ -27,6 +27,14 @@
   return fromSeconds(std::max(excess, 1.0) / slots * toSeconds(aQueuedExecution));
 }
 
+CompletionOutlook outlookOf(const TargetCandidate& aCandidate,
+                            bool aIsWarm,
+                            const AdmissionTerms& aTerms)
+{
+  return outlookAt(
+    aTerms, aCandidate.mLoad, aCandidate.mTarget->mEntry.mSlots, aIsWarm, aCandidate.mSlowdown);
+}
+
 } // namespace
 
 PickResult TargetPicker::selectByPriority(const CandidateOrder& aOrder,
@@ -41,14 +49,6 @@
   PickResult result;
   bool isAnyBeforeDeadline = false;
   bool isAnyAdmitted = false;
-  const auto outlookOf = [&](std::size_t aPosition) {
-    const Candidate& candidate = order[aPosition];
-    return outlookAt(terms,
-                     candidate.mLoad,
-                     candidate.mTarget->mEntry.mSlots,
-                     aPosition < aOrder.mPrimariesEnd,
-                     candidate.mSlowdown);
-  };
   const auto pass = [&](std::size_t aBegin,
                         std::size_t aEnd,
                         double aMaxLoadFactor,
@@ -61,7 +61,7 @@
         continue;
       }
       isAnyAdmitted = true;
-      const CompletionOutlook outlook = outlookOf(i);
+      const CompletionOutlook outlook = outlookOf(candidate, i < aOrder.mPrimariesEnd, terms);
       isAnyBeforeDeadline = isAnyBeforeDeadline || outlook.mIsBeforeDeadline;
       if (outlook.mIsBeforeDeadline && outlook.mExpected < aBelow &&
           (outlook.mIsInTime || !aInTime) && candidate.mLoad + 1 <= aMaxLoadFactor * slots &&
@@ -82,7 +82,7 @@
   const std::size_t primary = std::max<std::size_t>(primariesEnd, 1) - 1;
   // A cold execution elsewhere may be faster only when the primary's machine is slow now.
   const Duration below =
-    order[primary].mSlowdown > 1 ? outlookOf(primary).mExpected : Duration{ 0 };
+    order[primary].mSlowdown > 1 ? outlookOf(order[primary], true, terms).mExpected : Duration{ 0 };
   if (pass(primariesEnd, end, other, true) || pass(primariesEnd, end, other, false, below) ||
       pass(0, aOrder.mLocalEnd, kFreeSlotLoadFactor, false) ||
       pass(aOrder.mLocalEnd, primariesEnd, limit.atPrimary(false), false) ||
--- a/daemon/platform_main.cpp
+++ b/daemon/platform_main.cpp
@@ -103,6 +103,16 @@
     [&aPipeline](std::string& aText) { aPipeline.renderMetrics(aText); });
 }
 
+HttpHandlers callerHandlers(PlatformInstance& aInstance)
+{
+  return { nullptr,
+           [&aInstance](HttpRequest aRequest, std::shared_ptr<HttpResponder> aResponder) {
+             aInstance.handleCaller(std::move(aRequest), std::move(aResponder));
+           },
+           true,
+           [&aInstance](const HttpRequest& aRequest) { return aInstance.mayRunAhead(aRequest); } };
+}
+
 int runDaemon(const SteeringSettings& aSettings, const std::string& aPath)
 {
   EventLoop loop;
@@ -123,16 +133,8 @@
       loop.stop();
     });
   const std::size_t maxBodyBytes = aSettings.mMemoryMegabytes * 1024 * 1024 / kBodyMemoryDivisor;
-  const std::unique_ptr<HttpServer> callerServer = std::make_unique<HttpServer>(
-    loop,
-    aSettings.mListen,
-    HttpHandlers{ nullptr,
-                  [&](HttpRequest aRequest, std::shared_ptr<HttpResponder> aResponder) {
-                    instance->handleCaller(std::move(aRequest), std::move(aResponder));
-                  },
-                  true,
-                  [&](const HttpRequest& aRequest) { return instance->mayRunAhead(aRequest); } },
-    maxBodyBytes);
+  const std::unique_ptr<HttpServer> callerServer =
+    std::make_unique<HttpServer>(loop, aSettings.mListen, callerHandlers(*instance), maxBodyBytes);
   limitInput(loop, host, callerServer->inputThrottle(), maxBodyBytes);
   limitPipeline(host, *instance, callerServer->pipeline(), aSettings.mMemoryMegabytes);
   const auto makeServer = [&loop](const Endpoint& aEndpoint, RequestHandler aHandler) {
