--- a/bulrushrun/net/HttpResponder.h
+++ b/bulrushrun/net/HttpResponder.h
@@ -50,8 +50,8 @@
   /// \brief \returns true until it is the turn of this response on its connection.
   bool isWaiting() const { return mWaiting != nullptr; }
 
-  /// \brief Sends what has been written so far, and the rest as it is written: it is the turn of
-  /// this response.
+  /// \brief Sends what has been written, and the rest as it is written; called when h2o delivers
+  /// the request.
   void attach(h2o_req_t* aRequest);
   /// \brief Ends a waiting response whose connection is gone.
   void abandon();
--- a/bulrushrun/net/tests/PipelineEndTest.cpp
+++ b/bulrushrun/net/tests/PipelineEndTest.cpp
@@ -118,7 +118,7 @@
   EXPECT_EQ(counters().mAbandoned, 2U);
 }
 
-// Guards against a waiting response that breaks and looks whole in its turn.
+// Guards against a waiting response that breaks off and is sent as a complete one.
 TEST_F(PipelineEndTest, WaitingResponseThatBreaksIsBrokenInItsTurn)
 {
   send(get("/i0") + get("/i1") + get("/i2"));
@@ -147,7 +147,7 @@
 }
 
 // Guards against a streamed response that mixes with the ones behind it, and one that stalls
-// because nobody resumes it in its turn.
+// because nothing resumes it once the earlier responses have been sent.
 TEST_F(PipelineEndTest, StreamedResponsesWaitAndResume)
 {
   send(get("/i0") + get("/i1"));
--- a/bulrushrun/quotas/QuotaHolder.h
+++ b/bulrushrun/quotas/QuotaHolder.h
@@ -79,7 +79,8 @@
   TimePoint nextReportAt() const;
   /// \brief \returns the reports to send now, each for one message.
   std::vector<QuotaReport> makeReports(TimePoint aNow);
-  /// \brief Handles a grant. \returns the limits of which there are new tokens or none for a while
+  /// \brief Handles a grant. \returns the limits for which it brings tokens or the time of the next
+  /// one
   std::vector<LimitId> onGrant(const QuotaGrant& aGrant, TimePoint aNow);
 
   const QuotaMembership& membership() const { return mMembership; }
@@ -87,7 +88,7 @@
   bool isAlone() const { return mAlone; }
   Duration roundTrip() const { return mRoundTrip; }
   const QuotaCounters& counters() const { return mCounters; }
-  /// \brief \returns the limits of which this instance has heard that tokens are scarce.
+  /// \brief \returns the number of limits whose pool was scarce in the last grant.
   std::size_t scarceLimits() const;
   std::uint64_t tokensHeld(TimePoint aNow);
 
--- a/bulrushrun/quotas/QuotaHolderReports.cpp
+++ b/bulrushrun/quotas/QuotaHolderReports.cpp
@@ -73,7 +73,7 @@
   return reports;
 }
 
-/// \returns what the next report says about a limit, or nothing when there is nothing new.
+/// \returns what the next report says about a limit, or nothing when no field changed.
 std::optional<QuotaDemand> QuotaHolder::demand(LimitId aLimit,
                                                Account& aAccount,
                                                std::uint64_t aReportNumber,
--- a/bulrushrun/quotas/TokenAccount.h
+++ b/bulrushrun/quotas/TokenAccount.h
@@ -12,7 +12,7 @@
 class TokenAccount
 {
 public:
-  /// \brief Adds tokens. \param aCounted  they come from a coordinator, which is told their use
+  /// \brief Adds tokens. \param aCounted  granted by a coordinator, to which their use is reported
   void add(std::uint64_t aTokens, TimePoint aExpires, bool aCounted);
   /// \brief Takes the token that expires first. \returns false when there is none
   bool take(TimePoint aNow);
--- a/bulrushrun/quotas/tests/QuotaFleet.h
+++ b/bulrushrun/quotas/tests/QuotaFleet.h
@@ -210,7 +210,7 @@
     }
   }
 
-  /// Gossip needs both directions, and detects a partition after a while.
+  /// Gossip needs both directions, and detects a partition after kDetection.
   bool isSeparated(std::size_t aOne, std::size_t aOther, double aSeconds) const
   {
     const double before = aSeconds - toSeconds(kDetection);
--- a/bulrushrun/quotas/tests/QuotaFleetTest.cpp
+++ b/bulrushrun/quotas/tests/QuotaFleetTest.cpp
@@ -3,8 +3,6 @@
 #include <gtest/gtest.h>
 
 #include <cmath>
-#include <cstdio>
-#include <cstdlib>
 
 namespace bulrushrun::tests {
 namespace {
@@ -36,16 +34,6 @@
 {
   const double highest = static_cast<double>(aFleet.highestWindow(aName));
   EXPECT_LE(highest, QuotaFleet::allowed(aRate, aBurst));
-  if (std::getenv("QUOTA_FLEET_PRINT") != nullptr) {
-    std::printf("%s: window %.0f of %.0f, executed %zu, refused within %.4f, messages/s %.0f\n",
-                aName.c_str(),
-                highest,
-                QuotaFleet::allowed(aRate, aBurst),
-                aFleet.result(aName).mExecuted.size(),
-                aFleet.refusedWithinLimit(aName),
-                static_cast<double>(aFleet.messages()) /
-                  toSeconds(aFleet.now().time_since_epoch()));
-  }
 }
 
 class QuotaFleetSize : public testing::TestWithParam<std::size_t>
--- a/bulrushrun/quotas/tests/QuotaGateTest.cpp
+++ b/bulrushrun/quotas/tests/QuotaGateTest.cpp
@@ -242,5 +242,22 @@
   EXPECT_GE(mOne.mHost.mLogged[9003] + mTwo.mHost.mLogged[9003], 1);
 }
 
+// Guards against 429 for customers within their quota at an instance that does not know the others,
+// for example because the store did not accept its registration.
+TEST(QuotaGate, DoesNotBlameTheQuotaBeforeTheMembersAreKnown)
+{
+  Network network;
+  NetworkHost host{ network, 1 };
+  QuotaGate<NetworkHost> gate{ host, InstanceId{ "n1" }, Endpoint{ 1, 1 } };
+  CustomerDirectory customers;
+  customers.add({ CustomerName{ "a" }, std::nullopt, { 100, 100 }, {} }, { "key" });
+  gate.setCustomers(&customers);
+  const QuotaAnswer answer = gate.admit(
+    CustomerName{ "a" },
+    { RequestId{ 1 }, 0, std::chrono::milliseconds(800), host.now() + std::chrono::seconds(2) });
+  EXPECT_EQ(answer.mDecision, QuotaDecision::NotJoined);
+  EXPECT_TRUE(gate.waiting().empty()) << "it is not held";
+}
+
 } // namespace
 } // namespace bulrushrun
--- a/bulrushrun/steering/AdmissionTerms.h
+++ b/bulrushrun/steering/AdmissionTerms.h
@@ -13,7 +13,7 @@
   /// Time that is left to the latency target; negative when it has passed.
   Duration mToLatencyTarget{ 0 };
   Duration mToDeadline{ 0 };
-  /// The caller repeats a refused request before the time that it was told.
+  /// The caller repeats a refused request before its Retry-After has passed.
   bool mIsEarlyRepeat = false;
 };
 
--- a/bulrushrun/steering/CompletionEstimate.h
+++ b/bulrushrun/steering/CompletionEstimate.h
@@ -32,8 +32,9 @@
 ///
 /// \param aLoad  requests believed to be at the target, without the new one
 ///
-/// The queue of a target is worked off by all its slots. Measured on C1 (3 slots, median execution
-/// 210 ms): loads of 0 to 3 cost nothing, each further request 71 ms, which is 210 / 3.
+/// The queue of a target is worked off by all its slots. With 3 slots and a
+/// median execution of 210 ms, loads of 0 to 3 were measured to add nothing, and each further
+/// request 71 ms, which is about 210 / 3.
 inline double queuedExecutions(double aLoad, int aSlots)
 {
   return std::max(aLoad - aSlots, 0.0) / std::max(aSlots, 1);
--- a/bulrushrun/steering/ProxiedRequest.h
+++ b/bulrushrun/steering/ProxiedRequest.h
@@ -85,7 +85,7 @@
   std::size_t mPreferenceRank = 0;
   /// Rank of its priority; empty where requests do not compete by priority.
   std::optional<PriorityLevel> mLevel;
-  /// Its caller repeats a refused request before the time that it was told.
+  /// Its caller repeats a refused request before its Retry-After has passed.
   bool mIsEarlyRepeat = false;
   /// Results of the last choice for a request that competes: expected time to the response, time
   /// until there is room, whether the target has the object's data, how long work takes
--- a/bulrushrun/steering/QueueLimit.h
+++ b/bulrushrun/steering/QueueLimit.h
@@ -46,7 +46,7 @@
   static double atOther(double aBusyShare) { return aBusyShare < kMaxBusyShare ? kIdle : 0; }
 
 private:
-  /// Targets of the stand-ins decline from three requests a slot on. Loads are known late, so that
+  /// Many targets decline from three requests a slot on. Loads are known late, so that
   /// a limit at that point lets more requests be declined than refused.
   static constexpr double kLongestQueue = 2.7;
   static constexpr double kShortestQueue = 1.3;
@@ -54,8 +54,8 @@
   /// Part of a step by which the limit of late requests is shorter.
   static constexpr double kLateStep = 0.33;
   static constexpr double kIdle = 0.6;
-  /// ScarceFleet: 0.2 refuses 1 in 6 of the least urgent requests while slots are free; without
-  /// this limit, overload costs a quarter of the requests that are in time.
+  /// In the model of ScarceCapacityTest, 0.2 refuses 1 in 6 of the least urgent requests while
+  /// slots are free; without this limit, overload costs a quarter of the requests that are in time.
   static constexpr double kMaxBusyShare = 0.35;
 
   PriorityLevel mLevel;
--- a/bulrushrun/steering/RequestProxy.h
+++ b/bulrushrun/steering/RequestProxy.h
@@ -195,6 +195,7 @@
   bool canEndBeforeExit(const Route& aRoute, TimePoint aDeadline) const;
   TimePoint responseDue(const Request& aRequest) const;
   void recordRunTime(const Request& aRequest, Duration aElapsed);
+  static const Route* matchRoute(const RoutePlan& aPlan, const HttpRequest& aRequest);
   const Route* matchOrRefuse(const HttpRequest& aRequest, ResponderType& aResponder);
   bool exceedsLimits(const HttpRequest& aRequest, ResponderType& aResponder);
   void logRegionShares();
--- a/bulrushrun/steering/RequestProxyAdmission.h
+++ b/bulrushrun/steering/RequestProxyAdmission.h
@@ -79,14 +79,20 @@
   mRunTimes[aRequest.mRoute->mName].add(aElapsed);
 }
 
-/// \returns the route of a request; nullptr when there is none, which the caller is told.
+template<class HostType, class Codec>
+const Route* RequestProxy<HostType, Codec>::matchRoute(const RoutePlan& aPlan,
+                                                       const HttpRequest& aRequest)
+{
+  const std::string_view path = aRequest.mPath;
+  return aPlan.match(aRequest.mAuthority, path.substr(0, path.find('?')));
+}
+
+/// \returns the route of a request; nullptr when there is none, after a 404 response.
 template<class HostType, class Codec>
 const Route* RequestProxy<HostType, Codec>::matchOrRefuse(const HttpRequest& aRequest,
                                                           ResponderType& aResponder)
 {
-  const std::string_view path = aRequest.mPath;
-  const Route* route =
-    mSteeringState.mPlan->match(aRequest.mAuthority, path.substr(0, path.find('?')));
+  const Route* route = matchRoute(*mSteeringState.mPlan, aRequest);
   if (route == nullptr) {
     refuseBeforeAdmission(aResponder,
                           404,
@@ -159,9 +165,7 @@
       mSteeringState.mRejectingRequests) {
     return false;
   }
-  const std::string_view path = std::string_view{ aRequest.mPath };
-  const Route* route =
-    mSteeringState.mPlan->match(aRequest.mAuthority, path.substr(0, path.find('?')));
+  const Route* route = matchRoute(*mSteeringState.mPlan, aRequest);
   return route != nullptr && route->mIdempotent;
 }
 
--- a/bulrushrun/steering/RequestProxyIdentity.h
+++ b/bulrushrun/steering/RequestProxyIdentity.h
@@ -68,11 +68,9 @@
 template<class HostType, class Codec>
 const Route& RequestProxy<HostType, Codec>::routeInForce(const Request& aRequest) const
 {
-  const std::string_view path = aRequest.mRequest.mPath;
-  const Route* inForce =
-    aRequest.mPlan == mSteeringState.mPlan
-      ? nullptr
-      : mSteeringState.mPlan->match(aRequest.mRequest.mAuthority, path.substr(0, path.find('?')));
+  const Route* inForce = aRequest.mPlan == mSteeringState.mPlan
+                           ? nullptr
+                           : matchRoute(*mSteeringState.mPlan, aRequest.mRequest);
   return inForce == nullptr ? *aRequest.mRoute : *inForce;
 }
 
--- a/bulrushrun/steering/RequestProxyTargetUpdates.h
+++ b/bulrushrun/steering/RequestProxyTargetUpdates.h
@@ -99,4 +99,27 @@
             "target=" + aAttempt.mTarget.text() + " for_ms=" + std::to_string(toMillis(rest)));
 }
 
+/// Updates the target's health statistics with the result of an attempt.
+template<class HostType, class Codec>
+void RequestProxy<HostType, Codec>::recordAttemptResult(const Request& aRequest,
+                                                        AttemptResult aResult)
+{
+  const TimePoint now = mHost.now();
+  TargetStats& stats = mPicker.stats(aRequest.mAttempt->mTarget);
+  const std::string text = "target=" + aRequest.mAttempt->mTarget.text() +
+                           " service=" + aRequest.mService.text() + " id=" + aRequest.mMetadata.mId;
+  switch (stats.onEnd(aResult, now)) {
+    case TargetStats::HealthChange::Ejected:
+      mHost.log(events::kTargetEjected,
+                text + " result=" + resultText(aResult) +
+                  " for_ms=" + std::to_string(toMillis(stats.ejectedUntil() - now)));
+      break;
+    case TargetStats::HealthChange::Recovered:
+      mHost.log(events::kTargetBack, text);
+      break;
+    case TargetStats::HealthChange::None:
+      break;
+  }
+}
+
 } // namespace bulrushrun
--- a/bulrushrun/steering/tests/AdmissionTermsTest.cpp
+++ b/bulrushrun/steering/tests/AdmissionTermsTest.cpp
@@ -27,7 +27,7 @@
   }
 }
 
-/// Load: a target with a queue. Guards against estimates that differ from what was measured on C1:
+/// Load: a target with a queue. Guards against estimates that differ from the measured times:
 /// median execution 210 ms; 249 ms at load 4 and 567 ms at load 8.
 TEST(CompletionEstimateTest, ReproducesTheMeasuredQueues)
 {
--- a/bulrushrun/steering/tests/ScarceCapacityTest.cpp
+++ b/bulrushrun/steering/tests/ScarceCapacityTest.cpp
@@ -8,8 +8,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// Kinds of C1 with a fifth of their rates. The first region has 5 of 53 targets and a third of the
-/// callers.
+/// Kinds of requests with four priorities and latency targets (docs/design/HARD-LOAD.md, C1, a
+/// fifth of its rates). The first region has 5 of 53 targets and a third of the callers.
 class ScarceCapacityTest : public ::testing::Test
 {
 protected:
