--- a/review/7/tests/main.cpp
+++ b/review/7/tests/main.cpp
@@ -2,7 +2,7 @@
 /// \brief Case 7: after SIGTERM, an instance breaks off safe requests at which their server is at
 /// work, and answers 502 in its place, since the server was silent for a while.
 
-#include "review/tests/StandIns.h"
+#include "review/common-2/tests/StandIns.h"
 
 #include <algorithm>
 
