A reset during an upload no longer ends a response without a length

Callers saw: a part of a 200 without a length, passed on as the whole, when the target responded early and reset the connection while the upload was still being written. No part of it, 5 bytes and 300 KiB alike, to HTTP/1.1 and HTTP/1.0, on every kind of route.

Cause: the kernel reports an error of a connection once, to the first call after it. While a write waits for room, the event loop retries the write before it reads. The write takes the error, the read then reports an end without an error, and HttpConnection took that for the orderly end of the body. A connection that the kernel gives up itself (TCP_USER_TIMEOUT) ended a body in the same way.

Change: an end that is read while the request is not written yet counts only if the connection is still established on this side. poll() shows that, also after the error was taken. An orderly end during an upload still completes a response without a length. The change is in HttpConnection, the only reader of responses; health checks, the store and peers take no response without a length.

Ruled out by the same tests: a reset together with the part, and a reset after the whole request was written; both were noticed before.

SocketProxyFixture keeps earlier proxies, because timers of requests that may be retried refer to them.

--- a/bulrushrun/net/HttpConnection.cpp
+++ b/bulrushrun/net/HttpConnection.cpp
@@ -238,42 +238,6 @@
   connection->parse();
 }
 
-/// The peer closed the connection in an orderly way: this ends a response without a length, and
-/// interrupts any other.
-void HttpConnection::onPeerClosed()
-{
-  http_parser_execute(&mParser, &mParserSettings, nullptr, 0);
-  if (mResponseComplete) {
-    finishExchange();
-  } else {
-    fail(ExchangeResult::Interrupted, "connection closed before the response was complete");
-  }
-}
-
-void HttpConnection::parse()
-{
-  h2o_socket_t* socket = mSocket;
-  const std::size_t size = socket->input->size;
-  if (size == 0) {
-    return;
-  }
-  mIdleBeforeExchange.reset();
-  const std::size_t consumed =
-    http_parser_execute(&mParser, &mParserSettings, socket->input->bytes, size);
-  if (!isOpen()) {
-    // A listener closed the connection in the meantime.
-    return;
-  }
-  h2o_buffer_consume(&socket->input, consumed);
-  const http_errno error = HTTP_PARSER_ERRNO(&mParser);
-  if (mResponseComplete) {
-    finishExchange();
-  } else if (error != HPE_OK && error != HPE_PAUSED) {
-    fail(ExchangeResult::Interrupted,
-         mParsingFailure == nullptr ? "malformed HTTP response" : mParsingFailure);
-  }
-}
-
 void HttpConnection::finishExchange()
 {
   mHasStrayBytes = mSocket->input->size > 0;
--- a/bulrushrun/net/HttpConnection.h
+++ b/bulrushrun/net/HttpConnection.h
@@ -104,6 +104,7 @@
   bool mConnected = false;
   bool mExchangeInProgress = false;
   bool mRequestSent = false;
+  /// Until the kernel has taken the whole request, or the write has failed.
   bool mWriteInProgress = false;
   bool mHeadRequest = false;
   bool mReadingHeaderValue = false;
--- a/bulrushrun/net/HttpConnectionParsing.cpp
+++ b/bulrushrun/net/HttpConnectionParsing.cpp
@@ -1,12 +1,14 @@
 #include "bulrushrun/net/HttpConnection.h"
 
+#include "bulrushrun/net/Sockets.h"
+
 #include <algorithm>
 #include <charconv>
 #include <limits>
 #include <utility>
 
 /// \file
-/// \brief HttpConnection: the callbacks of http-parser.
+/// \brief HttpConnection: reading of responses, and the callbacks of http-parser.
 
 namespace bulrushrun {
 
@@ -74,6 +76,48 @@
     seconds > 0 ? std::chrono::seconds(seconds) - kIdleTimeoutMargin : kDefaultIdleTimeout;
 }
 
+/// The socket reported an end without an error. An orderly end completes a response without a
+/// length, and interrupts any other.
+void HttpConnection::onPeerClosed()
+{
+  // The kernel reports an error of the connection once. A write that fails takes it, and the next
+  // read reports an end.
+  if (mWriteInProgress && isConnectionLost(h2o_socket_get_fd(mSocket))) {
+    fail(ExchangeResult::Interrupted, "connection lost before the response was complete");
+    return;
+  }
+  http_parser_execute(&mParser, &mParserSettings, nullptr, 0);
+  if (mResponseComplete) {
+    finishExchange();
+  } else {
+    fail(ExchangeResult::Interrupted, "connection closed before the response was complete");
+  }
+}
+
+void HttpConnection::parse()
+{
+  h2o_socket_t* socket = mSocket;
+  const std::size_t size = socket->input->size;
+  if (size == 0) {
+    return;
+  }
+  mIdleBeforeExchange.reset();
+  const std::size_t consumed =
+    http_parser_execute(&mParser, &mParserSettings, socket->input->bytes, size);
+  if (!isOpen()) {
+    // A listener closed the connection in the meantime.
+    return;
+  }
+  h2o_buffer_consume(&socket->input, consumed);
+  const http_errno error = HTTP_PARSER_ERRNO(&mParser);
+  if (mResponseComplete) {
+    finishExchange();
+  } else if (error != HPE_OK && error != HPE_PAUSED) {
+    fail(ExchangeResult::Interrupted,
+         mParsingFailure == nullptr ? "malformed HTTP response" : mParsingFailure);
+  }
+}
+
 int HttpConnection::onField(http_parser* aParser, const char* aBytes, std::size_t aLength)
 {
   HttpConnection* connection = static_cast<HttpConnection*>(aParser->data);
--- a/bulrushrun/net/Sockets.cpp
+++ b/bulrushrun/net/Sockets.cpp
@@ -70,4 +70,10 @@
   return ::poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+bool isConnectionLost(int aDescriptor)
+{
+  pollfd state{ aDescriptor, 0, 0 };
+  return ::poll(&state, 1, 0) > 0 && (state.revents & (POLLHUP | POLLERR)) != 0;
+}
+
 } // namespace bulrushrun
--- a/bulrushrun/net/Sockets.h
+++ b/bulrushrun/net/Sockets.h
@@ -23,4 +23,8 @@
 /// bytes before that.
 bool isClosedByPeer(int aDescriptor);
 
+/// \brief \returns true when a TCP connection was reset or given up, also when an earlier call has
+/// taken the error; false when the peer has closed its side only.
+bool isConnectionLost(int aDescriptor);
+
 } // namespace bulrushrun
--- a/bulrushrun/net/tests/CutAnswerServer.h
+++ b/bulrushrun/net/tests/CutAnswerServer.h
@@ -41,17 +41,19 @@
     mThread.join();
   }
 
-  void setAnswer(std::string aBytes, Cut aCut)
+  /// Lets the client read what was sent before a reset discards it.
+  static constexpr std::chrono::microseconds kReadTime{ 200 };
+
+  /// \param aReadTime  time between the last byte of the answer and a reset
+  void setAnswer(std::string aBytes, Cut aCut, std::chrono::microseconds aReadTime = kReadTime)
   {
     const std::lock_guard lock{ mMutex };
     mBytes = std::move(aBytes);
     mCut = aCut;
+    mReadTime = aReadTime;
   }
 
 private:
-  /// Lets the client read what was sent before a reset discards it.
-  static constexpr std::chrono::microseconds kReadTime{ 200 };
-
   void serve()
   {
     while (!mStopped) {
@@ -80,7 +82,7 @@
       at += static_cast<std::size_t>(sent);
     }
     if (mCut == Cut::ResetAfterOneWrite || mCut == Cut::ResetAfterSingleBytes) {
-      std::this_thread::sleep_for(kReadTime);
+      std::this_thread::sleep_for(mReadTime);
       const linger resetOnClose{ 1, 0 };
       ::setsockopt(aConnection, SOL_SOCKET, SO_LINGER, &resetOnClose, sizeof(resetOnClose));
     }
@@ -90,6 +92,7 @@
   std::mutex mMutex;
   std::string mBytes;
   Cut mCut = Cut::CloseAfterOneWrite;
+  std::chrono::microseconds mReadTime = kReadTime;
   std::atomic<bool> mStopped = false;
   PolledListener mListener;
   std::thread mThread;
--- a/bulrushrun/steering/tests/SocketProxyFixture.h
+++ b/bulrushrun/steering/tests/SocketProxyFixture.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace bulrushrun {
 
@@ -54,6 +55,9 @@
   void resetProxy(const std::string& aPlan)
   {
     std::string reason;
+    if (mProxy != nullptr) {
+      mEarlierProxies.push_back({ std::move(mState), std::move(mProxy) });
+    }
     mState = std::make_unique<SteeringState>();
     mState->mPlan =
       std::make_shared<const RoutePlan>(*platform::Adapter::parseRoutePlan(aPlan, reason));
@@ -129,11 +133,19 @@
   const Proxy& proxy() const { return *mProxy; }
 
 private:
+  struct EarlierProxy
+  {
+    std::unique_ptr<SteeringState> mState;
+    std::unique_ptr<Proxy> mProxy;
+  };
+
   EventLoop mLoop;
   int mCallEnded = ::eventfd(0, EFD_NONBLOCK);
   EventLoopHost mHost;
   std::unique_ptr<SteeringState> mState;
   std::unique_ptr<Proxy> mProxy;
+  /// Timers of the loop refer to them.
+  std::vector<EarlierProxy> mEarlierProxies;
   HttpServer mServer;
 };
 
