Responses whose head has a line that ends with a part of CR LF are refused

Callers saw: a 200 with a body that was not the server's, on every kind of route, when the name of a field began with a carriage return or a line feed: the head ended there for us, and the rest of it was passed on as the body ("-Odd:" in place of "hello").

Cause: http-parser, as Debian builds it, takes any byte after a carriage return for the line feed, at the end of the status line and at the end of the head, and takes a single line feed for the end of a head whose other lines end with CR LF.

Change: the head is passed to the parser line by line, and ResponseLines verifies each line before. A line feed alone still ends the lines of a head that has no CR LF (SampleAnswer "line feeds only"). The parser is paused between a response that is skipped and the next head, so that the next one is verified, too. All responses are read there: of targets, health checks, the store, peers.

--- a/bulrushrun/net/HttpConnection.cpp
+++ b/bulrushrun/net/HttpConnection.cpp
@@ -119,6 +119,8 @@
   mExchangeInProgress = true;
   mRequestSent = false;
   mResponseComplete = false;
+  mReadingHead = true;
+  mLines = {};
   mSkippingBody = false;
   mSkippedResponse = false;
   mSkippedHeads = 0;
--- a/bulrushrun/net/HttpConnection.h
+++ b/bulrushrun/net/HttpConnection.h
@@ -2,6 +2,7 @@
 
 #include "bulrushrun/host/Http.h"
 #include "bulrushrun/net/EventLoop.h"
+#include "bulrushrun/net/ResponseLines.h"
 
 #include <h2o.h>
 #include <http_parser.h>
@@ -80,6 +81,7 @@
   void parseKeepAlive();
   void send();
   void parse();
+  std::size_t executeParser(std::string_view aInput);
   int onHeadComplete();
   int onInterimHead();
   int skipResponse(bool aStatesEnd, bool aHasNoBody);
@@ -110,6 +112,10 @@
   bool mReadingHeaderValue = false;
   bool mPaused = false;
   bool mResponseComplete = false;
+  bool mReadingHead = true;
+  /// The parser is paused between a response that was skipped and the next head.
+  bool mSkippedToNextHead = false;
+  ResponseLines mLines;
   bool mSkippingBody = false;
   bool mSkippedResponse = false;
   /// Interim responses and responses to other requests during this exchange.
--- a/bulrushrun/net/HttpConnectionParsing.cpp
+++ b/bulrushrun/net/HttpConnectionParsing.cpp
@@ -94,6 +94,32 @@
   }
 }
 
+/// Passes input to http-parser: a head line by line, each verified before, and a body as it is.
+/// \returns the number of bytes consumed
+std::size_t HttpConnection::executeParser(std::string_view aInput)
+{
+  std::size_t consumed = 0;
+  while (consumed < aInput.size()) {
+    std::string_view part = aInput.substr(consumed);
+    if (mReadingHead) {
+      part = ResponseLines::firstLine(part);
+      const char* malformed = mLines.verify(part);
+      if (malformed != nullptr) {
+        failParsing(malformed);
+        break;
+      }
+    }
+    consumed += http_parser_execute(&mParser, &mParserSettings, part.data(), part.size());
+    const http_errno error = HTTP_PARSER_ERRNO(&mParser);
+    if (error == HPE_PAUSED && std::exchange(mSkippedToNextHead, false)) {
+      http_parser_pause(&mParser, 0);
+    } else if (error != HPE_OK) {
+      break;
+    }
+  }
+  return consumed;
+}
+
 void HttpConnection::parse()
 {
   h2o_socket_t* socket = mSocket;
@@ -102,8 +128,7 @@
     return;
   }
   mIdleBeforeExchange.reset();
-  const std::size_t consumed =
-    http_parser_execute(&mParser, &mParserSettings, socket->input->bytes, size);
+  const std::size_t consumed = executeParser({ socket->input->bytes, size });
   if (!isOpen()) {
     // A listener closed the connection in the meantime.
     return;
@@ -112,7 +137,7 @@
   const http_errno error = HTTP_PARSER_ERRNO(&mParser);
   if (mResponseComplete) {
     finishExchange();
-  } else if (error != HPE_OK && error != HPE_PAUSED) {
+  } else if (mParsingFailure != nullptr || (error != HPE_OK && error != HPE_PAUSED)) {
     fail(ExchangeResult::Interrupted,
          mParsingFailure == nullptr ? "malformed HTTP response" : mParsingFailure);
   }
@@ -162,6 +187,7 @@
   if (!chunked && !hasLength && !withoutBody && !mListener.mBodyMayEndAtClose) {
     return kFail;
   }
+  mReadingHead = false;
   mHead.mStatus = status;
   if (hasLength && !chunked && status != kNoContent) {
     mHead.mLength = mParser.content_length;
@@ -242,12 +268,15 @@
 int HttpConnection::onMessageComplete(http_parser* aParser)
 {
   HttpConnection* connection = static_cast<HttpConnection*>(aParser->data);
+  http_parser_pause(aParser, 1);
   if (aParser->status_code < kMinFinalStatus || std::exchange(connection->mSkippingBody, false)) {
     connection->mHead = {};
+    connection->mReadingHead = true;
+    connection->mLines = {};
+    connection->mSkippedToNextHead = true;
     return 0;
   }
   connection->mResponseComplete = true;
-  http_parser_pause(aParser, 1);
   return 0;
 }
 
--- a/bulrushrun/steering/tests/BrokenAnswerProxyTest.cpp
+++ b/bulrushrun/steering/tests/BrokenAnswerProxyTest.cpp
@@ -1,3 +1,4 @@
+#include "bulrushrun/net/tests/BrokenHeads.h"
 #include "bulrushrun/net/tests/CutAnswerServer.h"
 #include "bulrushrun/steering/tests/SocketProxyFixture.h"
 
@@ -85,5 +86,54 @@
   }
 }
 
+class BrokenHeadProxyTest : public BrokenAnswerProxyTest
+{
+protected:
+  /// Sends a request that gets this answer, on each kind of route.
+  void expectFailure(const std::string& aAnswer)
+  {
+    for (const char* kind : kKinds) {
+      for (const char* method : { "GET", "HEAD" }) {
+        const RawCaller caller = call(kind, aAnswer, Cut::CloseAfterOneWrite, request(method));
+        EXPECT_EQ(caller.status(), 502) << kind << ", " << method << " " << printable(aAnswer);
+        EXPECT_FALSE(caller.has("x-response-signature")) << printable(caller.bytes());
+        EXPECT_FALSE(caller.has("odd")) << printable(caller.bytes());
+        EXPECT_EQ(caller.body().find("hello"), std::string::npos) << printable(caller.bytes());
+      }
+    }
+  }
+};
+
+/// Guards against passing on a status that no caller understands.
+TEST_F(BrokenHeadProxyTest, CallerGetsNoInvalidStatus)
+{
+  for (const std::string& line : kInvalidStatusLines) {
+    expectFailure(line + "\r\n" + kIds + "Content-Length: 5\r\n\r\nhello");
+    expectFailure(line + "\r\n" + kIds + "\r\nhello");
+  }
+}
+
+/// Guards against passing on a line whose name no caller reads as the target does.
+TEST_F(BrokenHeadProxyTest, CallerGetsNoMalformedName)
+{
+  for (const std::string& line : linesWithMalformedName("X-Odd", "1")) {
+    expectFailure("HTTP/1.1 200 OK\r\n" + line + kIds + "Content-Length: 5\r\n\r\nhello");
+    if (!isContinuation(line)) {
+      expectFailure("HTTP/1.1 200 OK\r\n" + kIds + "Content-Length: 5\r\n" + line + "\r\nhello");
+    }
+  }
+}
+
+/// Guards against a body of a length that the target didn't state.
+TEST_F(BrokenHeadProxyTest, CallerGetsNoBodyOfAnotherLength)
+{
+  for (const std::string& line : linesWithMalformedName("Content-Length", "2")) {
+    expectFailure("HTTP/1.1 200 OK\r\n" + line + kIds + "\r\nhello");
+    if (!isContinuation(line)) {
+      expectFailure("HTTP/1.1 200 OK\r\n" + kIds + line + "\r\nhello");
+    }
+  }
+}
+
 } // namespace
 } // namespace bulrushrun
