A response whose status has more than three digits is refused

Callers saw: a status line such as "HTTP/1.1 0200 Trouble" or "HTTP/1.1 00200" passed on as a 200, on every kind of route, and 0503 as a 503 on routes that may run twice.

Cause: http-parser reads the status as a number below 1000 and ignores zeros before it, so that the check of its range (100 to 599) sees a valid one.

Change: ResponseLines, which sees the status line before the parser, refuses a status that begins with a zero. No status of three digits in the valid range does.

Evidence, on the code before: 56 exchanges of BrokenHeadProxyTest got such an answer, and InvalidStatusIsNoResponse and BufferedExchangesGetNoResponse of BrokenHeadTest failed; all pass with the change. The statuses 000, 099, 600 and 999 and malformed ones were refused before, and keep their tests.

--- a/bulrushrun/net/ResponseLines.h
+++ b/bulrushrun/net/ResponseLines.h
@@ -5,7 +5,8 @@
 namespace bulrushrun {
 
 /// \brief Verifies the lines of a response's head, where http-parser does not: it takes any byte
-/// after a carriage return for a line feed (RFC 9112, section 2.2).
+/// after a carriage return for a line feed (RFC 9112, section 2.2), and ignores zeros before the
+/// status, which has three digits (section 4).
 ///
 /// Lines may arrive in parts. Line feeds alone may end the lines of a head, but not after a line
 /// that ended with a carriage return and a line feed.
@@ -20,6 +21,17 @@
   const char* verify(std::string_view aBytes);
 
 private:
+  /// What the status line has had so far.
+  enum class StatusLine
+  {
+    Version,
+    Separator,
+    Status,
+  };
+
+  bool startsStatusWithZero(char aByte);
+
+  StatusLine mStatusLine = StatusLine::Version;
   bool mAfterCarriageReturn = false;
   bool mHasCarriageReturns = false;
 };
