Chunks that do not end where their sizes say are refused

Callers saw: a part of a chunk as the whole body, when the target sent a chunk that was longer than its size. Found by the tests of the line ends of heads; the cause is the same: http-parser, as Debian builds it, skips two bytes after the data of a chunk, and one after a carriage return, without looking at them. "5 CR LF helloXY0 CR LF CR LF" was a complete body of 5 bytes.

Change: HttpConnection passes size lines, ends of chunks and trailers to the parser line by line, verified by ResponseLines like those of a head, and the data of a chunk as a part of its own; the line behind it has to be empty.

--- a/bulrushrun/net/HttpConnection.cpp
+++ b/bulrushrun/net/HttpConnection.cpp
@@ -73,6 +73,7 @@
   mParserSettings.on_header_value = onValue;
   mParserSettings.on_headers_complete = onHeadersComplete;
   mParserSettings.on_body = onBody;
+  mParserSettings.on_chunk_header = onChunkHeader;
   mParserSettings.on_message_complete = onMessageComplete;
   sockaddr_in address = socketAddress(aEndpoint);
   mSocket = h2o_socket_connect(
@@ -119,14 +120,12 @@
   mExchangeInProgress = true;
   mRequestSent = false;
   mResponseComplete = false;
-  mReadingHead = true;
-  mLines = {};
+  startHead();
   mSkippingBody = false;
   mSkippedResponse = false;
   mSkippedHeads = 0;
   mSkippedBytes = 0;
   mCarriedHeadRequest = mCarriedHeadRequest || mHeadRequest;
-  mHead = {};
   http_parser_init(&mParser, HTTP_RESPONSE);
   mParser.data = this;
   if (mConnected) {
--- a/bulrushrun/net/HttpConnection.h
+++ b/bulrushrun/net/HttpConnection.h
@@ -60,6 +60,16 @@
   bool hasStrayBytes() const { return mHasStrayBytes; }
 
 private:
+  /// What the next bytes of a response are.
+  enum class ResponsePart
+  {
+    /// A line of the head, the size of a chunk, the end of one, or a trailer.
+    Line,
+    ChunkData,
+    /// A body without chunks.
+    Body,
+  };
+
   /// The request in progress, until it is written.
   struct OutgoingRequest
   {
@@ -74,6 +84,7 @@
   static int onValue(http_parser* aParser, const char* aBytes, std::size_t aLength);
   static int onHeadersComplete(http_parser* aParser);
   static int onBody(http_parser* aParser, const char* aBytes, std::size_t aLength);
+  static int onChunkHeader(http_parser* aParser);
   static int onMessageComplete(http_parser* aParser);
 
   void onConnectTimeout();
@@ -81,6 +92,8 @@
   void parseKeepAlive();
   void send();
   void parse();
+  std::string_view nextPart(std::string_view aInput) const;
+  void startHead();
   std::size_t executeParser(std::string_view aInput);
   int onHeadComplete();
   int onInterimHead();
@@ -112,7 +125,8 @@
   bool mReadingHeaderValue = false;
   bool mPaused = false;
   bool mResponseComplete = false;
-  bool mReadingHead = true;
+  ResponsePart mPart = ResponsePart::Line;
+  std::uint64_t mChunkBytesLeft = 0;
   /// The parser is paused between a response that was skipped and the next head.
   bool mSkippedToNextHead = false;
   ResponseLines mLines;
--- a/bulrushrun/net/HttpConnectionParsing.cpp
+++ b/bulrushrun/net/HttpConnectionParsing.cpp
@@ -1,14 +1,12 @@
 #include "bulrushrun/net/HttpConnection.h"
 
-#include "bulrushrun/net/Sockets.h"
-
 #include <algorithm>
 #include <charconv>
 #include <limits>
 #include <utility>
 
 /// \file
-/// \brief HttpConnection: reading of responses, and the callbacks of http-parser.
+/// \brief HttpConnection: the callbacks of http-parser.
 
 namespace bulrushrun {
 
@@ -76,73 +74,6 @@
     seconds > 0 ? std::chrono::seconds(seconds) - kIdleTimeoutMargin : kDefaultIdleTimeout;
 }
 
-/// The socket reported an end without an error. An orderly end completes a response without a
-/// length, and interrupts any other.
-void HttpConnection::onPeerClosed()
-{
-  // The kernel reports an error of the connection once. A write that fails takes it, and the next
-  // read reports an end.
-  if (mWriteInProgress && isConnectionLost(h2o_socket_get_fd(mSocket))) {
-    fail(ExchangeResult::Interrupted, "connection lost before the response was complete");
-    return;
-  }
-  http_parser_execute(&mParser, &mParserSettings, nullptr, 0);
-  if (mResponseComplete) {
-    finishExchange();
-  } else {
-    fail(ExchangeResult::Interrupted, "connection closed before the response was complete");
-  }
-}
-
-/// Passes input to http-parser: a head line by line, each verified before, and a body as it is.
-/// \returns the number of bytes consumed
-std::size_t HttpConnection::executeParser(std::string_view aInput)
-{
-  std::size_t consumed = 0;
-  while (consumed < aInput.size()) {
-    std::string_view part = aInput.substr(consumed);
-    if (mReadingHead) {
-      part = ResponseLines::firstLine(part);
-      const char* malformed = mLines.verify(part);
-      if (malformed != nullptr) {
-        failParsing(malformed);
-        break;
-      }
-    }
-    consumed += http_parser_execute(&mParser, &mParserSettings, part.data(), part.size());
-    const http_errno error = HTTP_PARSER_ERRNO(&mParser);
-    if (error == HPE_PAUSED && std::exchange(mSkippedToNextHead, false)) {
-      http_parser_pause(&mParser, 0);
-    } else if (error != HPE_OK) {
-      break;
-    }
-  }
-  return consumed;
-}
-
-void HttpConnection::parse()
-{
-  h2o_socket_t* socket = mSocket;
-  const std::size_t size = socket->input->size;
-  if (size == 0) {
-    return;
-  }
-  mIdleBeforeExchange.reset();
-  const std::size_t consumed = executeParser({ socket->input->bytes, size });
-  if (!isOpen()) {
-    // A listener closed the connection in the meantime.
-    return;
-  }
-  h2o_buffer_consume(&socket->input, consumed);
-  const http_errno error = HTTP_PARSER_ERRNO(&mParser);
-  if (mResponseComplete) {
-    finishExchange();
-  } else if (mParsingFailure != nullptr || (error != HPE_OK && error != HPE_PAUSED)) {
-    fail(ExchangeResult::Interrupted,
-         mParsingFailure == nullptr ? "malformed HTTP response" : mParsingFailure);
-  }
-}
-
 int HttpConnection::onField(http_parser* aParser, const char* aBytes, std::size_t aLength)
 {
   HttpConnection* connection = static_cast<HttpConnection*>(aParser->data);
@@ -187,7 +118,7 @@
   if (!chunked && !hasLength && !withoutBody && !mListener.mBodyMayEndAtClose) {
     return kFail;
   }
-  mReadingHead = false;
+  mPart = chunked ? ResponsePart::Line : ResponsePart::Body;
   mHead.mStatus = status;
   if (hasLength && !chunked && status != kNoContent) {
     mHead.mLength = mParser.content_length;
@@ -265,14 +196,22 @@
   return kContinue;
 }
 
+int HttpConnection::onChunkHeader(http_parser* aParser)
+{
+  HttpConnection* connection = static_cast<HttpConnection*>(aParser->data);
+  connection->mChunkBytesLeft = aParser->content_length;
+  if (connection->mChunkBytesLeft > 0) {
+    connection->mPart = ResponsePart::ChunkData;
+  }
+  return kContinue;
+}
+
 int HttpConnection::onMessageComplete(http_parser* aParser)
 {
   HttpConnection* connection = static_cast<HttpConnection*>(aParser->data);
   http_parser_pause(aParser, 1);
   if (aParser->status_code < kMinFinalStatus || std::exchange(connection->mSkippingBody, false)) {
-    connection->mHead = {};
-    connection->mReadingHead = true;
-    connection->mLines = {};
+    connection->startHead();
     connection->mSkippedToNextHead = true;
     return 0;
   }
--- a/bulrushrun/net/ResponseLines.cpp
+++ b/bulrushrun/net/ResponseLines.cpp
@@ -1,5 +1,7 @@
 #include "bulrushrun/net/ResponseLines.h"
 
+#include <utility>
+
 namespace bulrushrun {
 
 std::string_view ResponseLines::firstLine(std::string_view aBytes)
@@ -29,6 +31,9 @@
     if (mAfterCarriageReturn ? byte != '\n' : byte == '\n' && mHasCarriageReturns) {
       return "a line of the response ends with a part of CR LF";
     }
+    if (std::exchange(mExpectsEmptyLine, false) && byte != '\r') {
+      return "a chunk of the response is longer than its size";
+    }
     if (startsStatusWithZero(byte)) {
       return "the status of the response is not valid";
     }
--- a/bulrushrun/net/tests/CutAnswerTest.cpp
+++ b/bulrushrun/net/tests/CutAnswerTest.cpp
@@ -170,6 +170,24 @@
   }
 }
 
+/// Guards against a part of a chunk as the whole, and against a size line in the body: their ends
+/// are not where the sizes say.
+TEST_F(DoubtfulFramingTest, ChunksThatDoNotEndWithTheirLinesAreRefused)
+{
+  for (const char* body : { "5\r\nhelloXY0\r\n\r\n",
+                            "5\r\nhello world1\r\n0\r\n\r\n",
+                            "5\r\nhello\n0\r\n0\r\n\r\n",
+                            "5\r\nhello\n\n0\r\n\r\n",
+                            "5\r\nhello\r\r0\r\n\r\n",
+                            "5\r\nhello\rX0\r\n\r\n",
+                            "5\rXhello\r\n0\r\n\r\n",
+                            "5\r\nhello\r\n0\rX\r\n",
+                            "5\r\nhello\r\n0\r\n\rX",
+                            "5\r\nhello\r\n0\r\nX-A: 1\r\n\rX" }) {
+    expectRefused("Transfer-Encoding: chunked\r\n", body);
+  }
+}
+
 /// Guards against a header that frames the answer here and is passed on as another one.
 TEST_F(DoubtfulFramingTest, HeaderNamesThatAreNoTokensAreRefused)
 {
