A connection closed during an upload ends a body only once the request is received

Callers saw: a part of a body without a length as the whole when the process of a target ended during an upload. The kernel of the target closes the connection in an orderly way if nothing is left to read at that moment, and resets it only when the next bytes of the request arrive.

Cause: HttpConnection took the end for that of the body as soon as it was read, and looked for the reset, since, only while the request was being written, and only at that moment.

Change: an end completes a response without a length once the kernel has taken the whole request and the peer has acknowledged it; a reset before that interrupts it. Most requests are acknowledged before their response, so nothing changes for them. A target that closes its side and goes on reading is waited for.

Evidence: ClosedDuringUploadTest counts which requests the target had read when it closed.

HttpClient cancels its timer when it is destroyed: the end of an exchange may now come from a timer, and the clients of tests are destroyed with it pending.

--- a/bulrushrun/net/HttpClient.cpp
+++ b/bulrushrun/net/HttpClient.cpp
@@ -87,7 +87,7 @@
     mOnStrayBytes(aConnection.endpoint());
   }
   if (mDiscarded.empty()) {
-    mLoop.after(Duration{ 0 }, [this] { mDiscarded.clear(); });
+    mDiscardTimer = mLoop.after(Duration{ 0 }, [this] { mDiscarded.clear(); });
   }
   mDiscarded.push_back(std::move(found->second));
   mConnections.erase(found);
--- a/bulrushrun/net/HttpClient.h
+++ b/bulrushrun/net/HttpClient.h
@@ -25,6 +25,9 @@
     : mLoop(aLoop)
   {
   }
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+  ~HttpClient() { mLoop.cancelTimer(mDiscardTimer); }
 
   /// \brief Sets the callback for endpoints that sent bytes which belong to no request. The bytes
   /// are discarded and the connection is closed.
@@ -57,6 +60,7 @@
   IdleTimeouts mIdleTimeouts;
   std::unordered_map<std::uint64_t, HttpConnection*> mExchanges;
   Connections mDiscarded;
+  TimerId mDiscardTimer;
   std::function<void(const Endpoint&)> mOnStrayBytes;
   ExchangeId mLastExchange;
 };
--- a/bulrushrun/net/HttpConnection.cpp
+++ b/bulrushrun/net/HttpConnection.cpp
@@ -100,6 +100,7 @@
 void HttpConnection::closeSocket()
 {
   mLoop.cancelTimer(mConnectTimer);
+  mLoop.cancelTimer(mReceiptTimer);
   if (mSocket != nullptr) {
     mSocket->data = nullptr;
     h2o_socket_close(std::exchange(mSocket, nullptr));
--- a/bulrushrun/net/HttpConnection.h
+++ b/bulrushrun/net/HttpConnection.h
@@ -89,6 +89,7 @@
 
   void onConnectTimeout();
   void onPeerClosed();
+  void finishOnceRequestIsReceived();
   void parseKeepAlive();
   void send();
   void parse();
@@ -107,6 +108,9 @@
   EventLoop& mLoop;
   Endpoint mEndpoint;
   TimerId mConnectTimer;
+  /// Runs between the end of the connection and the end of an exchange whose request is not yet
+  /// received.
+  TimerId mReceiptTimer;
   std::function<void(HttpConnection&)> mOnIdle;
   std::function<void(HttpConnection&)> mOnClosed;
   h2o_socket_t* mSocket = nullptr;
--- a/bulrushrun/net/HttpConnectionReading.cpp
+++ b/bulrushrun/net/HttpConnectionReading.cpp
@@ -8,24 +8,40 @@
 
 namespace bulrushrun {
 
-/// The socket reported an end without an error. An orderly end completes a response without a
-/// length, and interrupts any other.
+namespace {
+
+constexpr Duration kReceiptCheckInterval = std::chrono::milliseconds(5);
+
+} // namespace
+
+/// The socket reported an end without an error: this ends a response without a length, and
+/// interrupts any other.
 void HttpConnection::onPeerClosed()
 {
-  // The kernel reports an error of the connection once. A write that fails takes it, and the next
-  // read reports an end.
-  if (mWriteInProgress && isConnectionLost(h2o_socket_get_fd(mSocket))) {
-    fail(ExchangeResult::Interrupted, "connection lost before the response was complete");
-    return;
-  }
   http_parser_execute(&mParser, &mParserSettings, nullptr, 0);
   if (mResponseComplete) {
-    finishExchange();
+    h2o_socket_read_stop(mSocket);
+    finishOnceRequestIsReceived();
   } else {
     fail(ExchangeResult::Interrupted, "connection closed before the response was complete");
   }
 }
 
+/// An end is orderly only if the connection stays intact until the peer has received the request: a
+/// peer that is gone resets it instead. Nor does a reset always show as an error, because the
+/// kernel reports it once, and a write that fails takes it from the next read.
+void HttpConnection::finishOnceRequestIsReceived()
+{
+  const int descriptor = h2o_socket_get_fd(mSocket);
+  if (isConnectionLost(descriptor)) {
+    fail(ExchangeResult::Interrupted, "connection lost before the response was complete");
+  } else if (mWriteInProgress || hasUnacknowledgedBytes(descriptor)) {
+    mReceiptTimer = mLoop.after(kReceiptCheckInterval, [this] { finishOnceRequestIsReceived(); });
+  } else {
+    finishExchange();
+  }
+}
+
 void HttpConnection::startHead()
 {
   mHead = {};
--- a/bulrushrun/net/Sockets.cpp
+++ b/bulrushrun/net/Sockets.cpp
@@ -1,7 +1,9 @@
 #include "bulrushrun/net/Sockets.h"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -76,4 +78,10 @@
   return ::poll(&state, 1, 0) > 0 && (state.revents & (POLLHUP | POLLERR)) != 0;
 }
 
+bool hasUnacknowledgedBytes(int aDescriptor)
+{
+  int bytes = 0;
+  return ::ioctl(aDescriptor, SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 } // namespace bulrushrun
--- a/bulrushrun/net/Sockets.h
+++ b/bulrushrun/net/Sockets.h
@@ -27,4 +27,7 @@
 /// taken the error; false when the peer has closed its side only.
 bool isConnectionLost(int aDescriptor);
 
+/// \brief \returns true when the peer has not acknowledged all bytes that the kernel has taken.
+bool hasUnacknowledgedBytes(int aDescriptor);
+
 } // namespace bulrushrun
