--- a/bulrushrun/net/HttpConnection.h
+++ b/bulrushrun/net/HttpConnection.h
@@ -18,8 +18,9 @@
 /// is complete.
 ///
 /// A response whose end can't be verified (neither Content-Length nor chunked) counts as
-/// interrupted, unless the listener accepts a body that ends when the connection closes. Responses
-/// to other requests are skipped, up to a limit; after one, the connection is not used again.
+/// interrupted, unless the listener accepts a body that ends when the connection closes. Such a
+/// body is complete once the peer has received the whole request. Responses to other requests are
+/// skipped, up to a limit; after one, the connection is not used again.
 class HttpConnection
 {
 public:
--- a/bulrushrun/net/tests/PausedResponseTest.cpp
+++ b/bulrushrun/net/tests/PausedResponseTest.cpp
@@ -17,6 +17,7 @@
     {
       HttpClient client{ mLoop };
       ExchangeId exchange;
+      TimerId resumeTimer;
       ExchangeListener listener;
       listener.mBodyMayEndAtClose = true;
       listener.mIsMatchingResponse = [](const ResponseHead& aHead) {
@@ -26,11 +27,12 @@
       listener.mOnHead = [&](const ResponseHead& aHead) { received.mHead = aHead; };
       listener.mOnBody = [&](std::string_view aBody) {
         received.mBody.append(aBody);
-        mLoop.after(aPause, [&] { client.resume(exchange); });
+        resumeTimer = mLoop.after(aPause, [&] { client.resume(exchange); });
         return false;
       };
       listener.mOnEnd = [&](ExchangeResult aResult, const std::string&) {
         received.mResult = aResult;
+        mLoop.cancelTimer(resumeTimer);
         mLoop.stop();
       };
       exchange = client.start(
