A target's own error reaches the caller when no retry gets another response

What callers saw: a safe request whose target had answered with a 5xx ended with a 502 of the instance when the retry had no target, or its target declined. The signed error, which says that the request ran and failed, was lost.

Cause: RequestProxy::onComplete threw the complete response away before a further target was chosen, and spent the retry budget for it.

Change: the error is kept with the request, and forwarded where the request would otherwise end with a 502 or 504.

Evidence: IdempotentRequestTest.GetsTheErrorOfItsTargetWhenThereIsNoOther and GetsTheErrorOfItsTargetWhenTheOtherDeclines failed before (502), and pass now; 103 tests of the proxy, quotas, planned stops and origins of responses pass.

--- a/bulrushrun/steering/ProxiedRequest.h
+++ b/bulrushrun/steering/ProxiedRequest.h
@@ -75,6 +75,8 @@
   /// Attempts for which no connection could be established.
   int mConnectFailures = 0;
   std::optional<TargetAttempt> mAttempt;
+  /// Complete error response of a target, forwarded when no retry gets another response.
+  std::optional<HttpResponse> mErrorResponse;
   /// The response head was forwarded to the caller.
   bool mStreaming = false;
   /// Inputs of the last choice of a target, for the log.
--- a/bulrushrun/steering/RequestProxy.h
+++ b/bulrushrun/steering/RequestProxy.h
@@ -258,7 +258,8 @@
   void logFailedAttempt(const Request& aRequest, Duration aElapsed);
   void startStreaming(Request& aRequest);
   void abandonAttempt(Request& aRequest);
-  void forwardHead(Request& aRequest, std::optional<std::uint64_t> aLength);
+  void forwardHead(Request& aRequest, ResponseHead aHead);
+  void forwardWhole(Request& aRequest, ResponseHead aHead, const std::string& aBody);
 
   // Competition by priority.
   const ServicePriorities& servicePriorities();
--- a/bulrushrun/steering/RequestProxyActions.h
+++ b/bulrushrun/steering/RequestProxyActions.h
@@ -228,6 +228,14 @@
 {
   constexpr int kBadGateway = 502;
   constexpr int kGatewayTimeout = 504;
+  if (aRequest.mErrorResponse) {
+    const int status = aRequest.mErrorResponse->mHead.mStatus;
+    forwardWhole(aRequest, aRequest.mErrorResponse->mHead, aRequest.mErrorResponse->mBody);
+    aRequest.mResponder->finish();
+    ++mCounters.mAnswered;
+    finish(aRequest, "answered", status);
+    return;
+  }
   const int status = mHost.now() >= aRequest.mDeadline ? kGatewayTimeout : kBadGateway;
   ++mCounters.mFailed;
   sendLocalResponse(aRequest, status, {}, "may have run: " + aRequest.mReason);
--- a/bulrushrun/steering/RequestProxyExchange.h
+++ b/bulrushrun/steering/RequestProxyExchange.h
@@ -145,14 +145,24 @@
 }
 
 template<class HostType, class Codec>
-void RequestProxy<HostType, Codec>::forwardHead(Request& aRequest,
-                                                std::optional<std::uint64_t> aLength)
+void RequestProxy<HostType, Codec>::forwardHead(Request& aRequest, ResponseHead aHead)
 {
-  ResponseHead head = *aRequest.mAttempt->mHead;
-  Codec::removeTargetHeaders(head.mHeaders);
-  head.mLength = aLength;
-  head.mCloseAfter = mSteeringState.mDraining;
-  aRequest.mResponder->start(head);
+  Codec::removeTargetHeaders(aHead.mHeaders);
+  aHead.mCloseAfter = mSteeringState.mDraining;
+  aRequest.mResponder->start(aHead);
+}
+
+/// Forwards a response whose body is complete.
+template<class HostType, class Codec>
+void RequestProxy<HostType, Codec>::forwardWhole(Request& aRequest,
+                                                 ResponseHead aHead,
+                                                 const std::string& aBody)
+{
+  if (aRequest.mRequest.mMethod != "HEAD" && !isStatusWithoutBody(aHead.mStatus)) {
+    aHead.mLength = aBody.size();
+  }
+  forwardHead(aRequest, std::move(aHead));
+  aRequest.mResponder->write(aBody);
 }
 
 template<class HostType, class Codec>
@@ -160,7 +170,7 @@
 {
   aRequest.mStateMachine.apply(RequestEvent::ResponseHeadReceived);
   aRequest.mStreaming = true;
-  forwardHead(aRequest, aRequest.mAttempt->mHead->mLength);
+  forwardHead(aRequest, *aRequest.mAttempt->mHead);
   aRequest.mResponder->write(std::exchange(aRequest.mAttempt->mBody, {}));
 }
 
@@ -200,7 +210,8 @@
               " reason=\"" + aRequest.mReason + "\" ms=" + std::to_string(toMillis(aElapsed)));
 }
 
-/// Handles a complete response. Errors of the target may be retried at another one.
+/// Handles a complete response. A request that may run again is retried after an error of the
+/// target, which is kept for the case that no retry gets another response.
 template<class HostType, class Codec>
 void RequestProxy<HostType, Codec>::onComplete(Request& aRequest)
 {
@@ -227,19 +238,16 @@
     constexpr int kSmoothing = 16;
     latency = latency == Duration{ 0 } ? elapsed : latency + (elapsed - latency) / kSmoothing;
   }
-  if (failed && !aRequest.mStreaming && aRequest.mRoute->mIdempotent && mayRetry(aRequest)) {
+  if (failed && !aRequest.mStreaming && aRequest.mRoute->mIdempotent) {
     aRequest.mReason = "the target failed with status " + std::to_string(status);
     logFailedAttempt(aRequest, elapsed);
-    ++mCounters.mRetryCount;
-    aRequest.mStateMachine.apply(RequestEvent::ExchangeFailed);
-    dispatch(aRequest);
+    aRequest.mErrorResponse = HttpResponse{ *attempt.mHead, std::move(attempt.mBody) };
+    apply(id, RequestEvent::ExchangeFailed);
     return;
   }
   if (!aRequest.mStreaming) {
     aRequest.mStateMachine.apply(RequestEvent::ResponseHeadReceived);
-    const bool withoutBody = aRequest.mRequest.mMethod == "HEAD" || isStatusWithoutBody(status);
-    forwardHead(aRequest, withoutBody ? attempt.mHead->mLength : attempt.mBody.size());
-    aRequest.mResponder->write(attempt.mBody);
+    forwardWhole(aRequest, *attempt.mHead, attempt.mBody);
   }
   apply(id, RequestEvent::ResponseComplete);
 }
--- a/bulrushrun/steering/tests/RequestProxyTest.cpp
+++ b/bulrushrun/steering/tests/RequestProxyTest.cpp
@@ -111,6 +111,35 @@
   EXPECT_EQ(caller->mHead.mStatus, 502);
 }
 
+/// Guards against a 502 in place of a target's own error when no other target is usable.
+TEST_F(IdempotentRequestTest, GetsTheErrorOfItsTargetWhenThereIsNoOther)
+{
+  start("safe");
+  const std::shared_ptr<RecordingResponder> caller = mSimulation.sendRequest("n1", "id-1");
+  const ExchangeId exchange = mSimulation.targetExchanges().front();
+  for (const char* target : { "t1", "t2", "t3" }) {
+    mSimulation.putTarget(target, "draining");
+  }
+  mSimulation.run(std::chrono::milliseconds(100));
+  mSimulation.respondTo(exchange, 500, { { "X-Response-Signature", "s" } }, "oops");
+  EXPECT_EQ(caller->mHead.mStatus, 500);
+  EXPECT_EQ(caller->mBody, "oops");
+}
+
+/// Guards against the same when the other target does not execute the request.
+TEST_F(IdempotentRequestTest, GetsTheErrorOfItsTargetWhenTheOtherDeclines)
+{
+  start("safe");
+  const std::shared_ptr<RecordingResponder> caller = mSimulation.sendRequest("n1", "id-1");
+  mSimulation.respondTo(
+    mSimulation.targetExchanges().front(), 500, { { "X-Response-Signature", "s" } }, "oops");
+  ASSERT_EQ(mSimulation.targetExchanges().size(), 1U);
+  mSimulation.respondTo(
+    mSimulation.targetExchanges().front(), 503, { { "X-Not-Executed", "1" } }, "");
+  EXPECT_EQ(caller->mHead.mStatus, 500);
+  EXPECT_EQ(caller->mBody, "oops");
+}
+
 class NonIdempotentRequestTest : public RequestProxyTest
 {};
 
