A target's silence no longer ends an attempt

Cause: RequestProxy::onResponseTimeout aborted the attempt before another target was chosen. A second target may also decline, and then nothing was left to wait for.

Change: the attempt goes on while the request is sent to a further target, and ends once the response of another attempt is forwarded. An attempt that fails or declines ends the request only when no other one is in progress (RequestStateMachine counts them; only requests that may run twice have several). While no target is usable, or the retry budget or a token is missing, the check is repeated. The budget is spent, and a token kept, only once a target is chosen; attempts in progress count towards the route's limit. Responses to other instances, as far as they were reported, end the silence of a target, too. What was known of a target when it was chosen belongs to the attempt, since an earlier one may answer later.

UnresponsiveTargetTest.IdempotentRequestsAreRetriedElsewhere expected the first exchange to be aborted at 0.8 s, which is the fault; it now expects both, and none once the second target has answered.

Ruled out: a longer limit alone, which only moves the moment of the abort; choosing another target before the abort, since that one may decline.

--- a/bulrushrun/core/StrongNumber.h
+++ b/bulrushrun/core/StrongNumber.h
@@ -34,6 +34,8 @@
 using RecordVersion = StrongNumber<struct RecordVersionTag>;
 using ExchangeId = StrongNumber<struct ExchangeIdTag>;
 using RequestId = StrongNumber<struct RequestIdTag>;
+/// \brief Attempt of a request, counted from 1.
+using AttemptId = StrongNumber<struct AttemptIdTag>;
 using TimerId = StrongNumber<struct TimerIdTag>;
 using Incarnation = StrongNumber<struct IncarnationTag>;
 
--- a/bulrushrun/forwarding/RequestStateMachine.cpp
+++ b/bulrushrun/forwarding/RequestStateMachine.cpp
@@ -56,6 +56,14 @@
   return refuse();
 }
 
+/// An attempt ended without a result for the caller.
+RequestAction RequestStateMachine::retryAfterAttempt()
+{
+  --mAttemptsInProgress;
+  mState = mAttemptsInProgress > 0 ? RequestState::Sending : RequestState::Queued;
+  return RequestAction::Retry;
+}
+
 RequestAction RequestStateMachine::onNew(RequestEvent aEvent)
 {
   if (aEvent == RequestEvent::Admitted) {
@@ -98,6 +106,7 @@
   switch (aEvent) {
     case RequestEvent::Dispatched:
       mState = RequestState::Sending;
+      mAttemptsInProgress = 1;
       return RequestAction::NoAction;
     case RequestEvent::Refused:
     case RequestEvent::DeadlinePassed:
@@ -112,10 +121,15 @@
 RequestAction RequestStateMachine::onSending(RequestEvent aEvent)
 {
   switch (aEvent) {
+    case RequestEvent::Dispatched:
+      if (mPolicy != RetryPolicy::Unrestricted) {
+        return RequestAction::Reject;
+      }
+      ++mAttemptsInProgress;
+      return RequestAction::NoAction;
     case RequestEvent::ConnectFailed:
     case RequestEvent::TargetDeclined:
-      mState = RequestState::Queued;
-      return RequestAction::Retry;
+      return retryAfterAttempt();
     case RequestEvent::ResponseHeadReceived:
       mState = RequestState::StreamingResponse;
       return RequestAction::StreamResponse;
@@ -125,8 +139,7 @@
           mPolicy == RetryPolicy::AtMostOnceUnclaimed) {
         return abandon();
       }
-      mState = RequestState::Queued;
-      return RequestAction::Retry;
+      return retryAfterAttempt();
     case RequestEvent::DeadlinePassed:
       mMayHaveRun = true;
       return abandon();
--- a/bulrushrun/forwarding/RequestStateMachine.h
+++ b/bulrushrun/forwarding/RequestStateMachine.h
@@ -14,7 +14,7 @@
   WritingClaim,
   /// Queued for dispatch.
   Queued,
-  /// Sent to a target or peer; no response yet.
+  /// Sent to a target or peer, or to several targets; no response is forwarded yet.
   Sending,
   /// The response head was received; the body is being forwarded.
   StreamingResponse,
@@ -46,6 +46,7 @@
   ClaimHeld,
   ClaimMismatched,
   ClaimUnavailable,
+  /// Sent to a target or peer, possibly while earlier attempts are in progress.
   Dispatched,
   /// The connection failed before any byte was sent.
   ConnectFailed,
@@ -70,7 +71,8 @@
   NoAction,
   WriteClaim,
   Enqueue,
-  /// Queue the request again; this spends the retry budget.
+  /// Send the request again, which spends the retry budget, or wait for the attempts that are still
+  /// in progress.
   Retry,
   StreamResponse,
   FinishResponse,
@@ -91,6 +93,9 @@
 
 /// \brief Life cycle of one request in progress, as a pure function from events to actions.
 ///
+/// Several attempts may be in progress only under RetryPolicy::Unrestricted. A failed attempt ends
+/// the request only when no other one is in progress.
+///
 /// Outcome::NotRun is reported only while no byte can have reached a target, or when every target
 /// that was reached reported that it did not execute the request.
 ///
@@ -130,9 +135,11 @@
   RequestAction refuse();
   RequestAction abandon();
   RequestAction endForDisconnectedCaller();
+  RequestAction retryAfterAttempt();
 
   RetryPolicy mPolicy;
   RequestState mState = RequestState::New;
+  int mAttemptsInProgress = 0;
   bool mMayHaveRun = false;
   bool mClaimed = false;
   bool mCallerDisconnected = false;
--- a/bulrushrun/host/EventCatalogue.h
+++ b/bulrushrun/host/EventCatalogue.h
@@ -73,6 +73,7 @@
 inline constexpr Event kRegionShares{ 8005, Severity::Info, "region-shares" };
 inline constexpr Event kReadingPaused{ 8006, Severity::Warn, "reading-paused" };
 inline constexpr Event kReadingResumed{ 8007, Severity::Info, "reading-resumed" };
+inline constexpr Event kTargetSilent{ 8008, Severity::Info, "target-silent" };
 inline constexpr Event kPipelineLimitReached{ 8010, Severity::Warn, "pipeline-limit-reached" };
 inline constexpr Event kPipelineLimitLeft{ 8011, Severity::Info, "pipeline-limit-left" };
 inline constexpr Event kPipelineMismatch{ 8012, Severity::Error, "pipeline-mismatch" };
@@ -118,6 +119,6 @@
                                         kQuotaAlone,           kQuotaCoordinated,
                                         kQuotaExceeded,        kPipelineLimitReached,
                                         kPipelineLimitLeft,    kPipelineMismatch,
-                                        kPipelineAbandoned };
+                                        kPipelineAbandoned,    kTargetSilent };
 
 } // namespace bulrushrun::events
--- a/bulrushrun/limits/RetryBudgetShare.h
+++ b/bulrushrun/limits/RetryBudgetShare.h
@@ -33,9 +33,9 @@
     ++mFirstAttempts.back();
   }
 
-  /// \brief Spends one retry. \returns false when the share is exhausted
+  /// \brief \returns true when the share permits a retry.
   /// \param aInstances  number of instances that may exist
-  bool trySpend(const RetryBudgetPolicy& aPolicy, std::size_t aInstances, TimePoint aNow)
+  bool maySpend(const RetryBudgetPolicy& aPolicy, std::size_t aInstances, TimePoint aNow)
   {
     mBucketDuration = aPolicy.mWindow / kBuckets;
     advance(aNow);
@@ -48,11 +48,16 @@
     const double instances = static_cast<double>(std::max<std::size_t>(aInstances, 1));
     const double allowed =
       kMargin * (aPolicy.mRatio * firstAttempts + aPolicy.mFreeRetries / instances);
-    if (retries + 1 > allowed) {
-      return false;
-    }
-    ++mRetries.back();
-    return true;
+    return retries + 1 <= allowed;
+  }
+
+  /// \brief Spends one retry. \returns false when the share is exhausted
+  /// \param aInstances  number of instances that may exist
+  bool trySpend(const RetryBudgetPolicy& aPolicy, std::size_t aInstances, TimePoint aNow)
+  {
+    const bool isPermitted = maySpend(aPolicy, aInstances, aNow);
+    mRetries.back() += isPermitted ? 1 : 0;
+    return isPermitted;
   }
 
 private:
--- a/bulrushrun/steering.h
+++ b/bulrushrun/steering.h
@@ -32,5 +32,7 @@
 // Requests in progress.
 #include "bulrushrun/steering/ProxiedRequest.h"
 #include "bulrushrun/steering/RequestProxy.h"
+#include "bulrushrun/steering/SteeringState.h"
+#include "bulrushrun/steering/TargetAttempt.h"
 // The instance that combines them.
 #include "bulrushrun/steering/SteeringInstance.h"
--- a/bulrushrun/steering/RequestProxy.h
+++ b/bulrushrun/steering/RequestProxy.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "bulrushrun/limits/RetryBudgetShare.h"
 #include "bulrushrun/metrics/AdmissionMetrics.h"
 #include "bulrushrun/metrics/ServiceMetrics.h"
 #include "bulrushrun/quotas.h"
@@ -10,6 +9,7 @@
 #include "bulrushrun/steering/ReturnTime.h"
 #include "bulrushrun/steering/RunTimeEstimate.h"
 #include "bulrushrun/steering/ServicePriorities.h"
+#include "bulrushrun/steering/SteeringState.h"
 #include "bulrushrun/steering/TargetPicker.h"
 #include "bulrushrun/steering/TargetRateMessage.h"
 
@@ -23,28 +23,6 @@
 
 namespace bulrushrun {
 
-/// \brief State of the fleet that the proxy reads; owned by the instance.
-struct SteeringState
-{
-  std::shared_ptr<const RoutePlan> mPlan;
-  TargetTable mTargets;
-  PickContext mContext;
-  RetryBudgetPolicy mRetryBudgetPolicy;
-  /// Factor and constant of the rate limit on cold targets: rate x factor + slack.
-  double mColdFactor = 1;
-  double mColdSlack = 0;
-  /// Instances that may exist; fleet-wide limits are divided among them.
-  std::size_t mInstanceCount = 1;
-  /// When the target table was last known to match the store's.
-  TimePoint mSyncedAt;
-  /// This instance is draining; connections are closed after each response.
-  bool mDraining = false;
-  /// While draining: when the targets' responses are due, so that they can still be forwarded.
-  std::optional<TimePoint> mResponsesDue;
-  /// Too little of the shutdown grace period is left for new requests.
-  bool mRejectingRequests = false;
-};
-
 /// \brief Counters of the proxy, for metrics.
 struct RequestProxyCounters
 {
@@ -185,6 +163,10 @@
   static constexpr Duration kRankingPeriod = std::chrono::seconds(5);
   /// Time that must remain for a retry, as a fraction of the smoothed latency.
   static constexpr double kMinRetryTimeShare = 0.5;
+  /// Intervals at which a request whose targets do not respond is checked again: while there is no
+  /// further target, and at the least.
+  static constexpr Duration kResponseCheckInterval = std::chrono::milliseconds(250);
+  static constexpr Duration kMinResponseCheckInterval = std::chrono::milliseconds(20);
 
   // Admission.
   void refuseBeforeAdmission(ResponderType& aResponder,
@@ -202,6 +184,7 @@
   void setCallerCallbacks(Request& aRequest);
   void onCallerDisconnected(RequestId aId);
   bool endIfCallerLeft(Request& aRequest);
+  bool mayStillSend(RequestId aId, AttemptId aAttempt);
 
   // Customers.
   CallerIdentification identify(const HttpRequest& aRequest, const Route& aRoute) const;
@@ -224,14 +207,15 @@
   void refuseOverQuota(Request& aRequest, Duration aRetryAfter);
   bool hasTokenForRepeat(Request& aRequest);
   void releaseToken(Request& aRequest);
+  void returnToken(Request& aRequest);
 
   // Actions of the state machine.
   void apply(RequestId aId, RequestEvent aEvent);
   void perform(Request& aRequest, RequestAction aAction);
+  PickResult pickTarget(Request& aRequest);
+  static const char* describeFailure(const Request& aRequest, const PickResult& aPick);
   void dispatch(Request& aRequest);
   void announcePlacement(const Request& aRequest, const Placement& aPlacement);
-  void retry(Request& aRequest);
-  bool mayRetry(Request& aRequest);
   void respondNotRun(Request& aRequest);
   void respondFailed(Request& aRequest);
   void sendLocalResponse(Request& aRequest,
@@ -240,24 +224,40 @@
                          const std::string& aText);
   void finish(Request& aRequest, const char* aOutcome, int aStatus);
 
+  // Retries.
+  void retry(Request& aRequest);
+  bool mayRetry(Request& aRequest);
+  const char* sendAgain(Request& aRequest);
+  void scheduleResponseCheck(Request& aRequest, Duration aDelay);
+  void checkResponse(RequestId aId);
+  Duration smoothedLatency(const ServiceName& aService) const;
+  Duration unresponsiveAfter(const Request& aRequest) const;
+  bool isTargetUnresponsive(const Request& aRequest, const TargetAttempt& aAttempt);
+
   // Attempts at targets.
   void startAttempt(Request& aRequest, const PickResult& aPick);
-  ExchangeListener listener(RequestId aId);
-  void onHead(RequestId aId, const ResponseHead& aHead);
+  ExchangeListener listener(RequestId aId, AttemptId aAttempt);
+  void onHead(RequestId aId, AttemptId aAttempt, const ResponseHead& aHead);
   void reportTargetUpdate(Request& aRequest);
   void startRest(const TargetAttempt& aAttempt);
   void updateRateLimit(const Request& aRequest);
   void logRateLimit(const TargetRate& aRate, const char* aSource);
-  bool onBody(RequestId aId, std::string_view aBytes);
-  void onEnd(RequestId aId, ExchangeResult aEnd, const std::string& aReason);
+  bool onBody(RequestId aId, AttemptId aAttempt, std::string_view aBytes);
+  void onEnd(RequestId aId,
+             AttemptId aAttempt,
+             ExchangeResult aExchangeResult,
+             const std::string& aReason);
   void onComplete(Request& aRequest);
   void interruptAttempt(Request& aRequest, const char* aReason);
   void endUnanswered(RequestId aId, const char* aReason);
-  void onResponseTimeout(RequestId aId, int aAttemptNumber);
-  void recordAttemptResult(const Request& aRequest, AttemptResult aResult);
-  void logFailedAttempt(const Request& aRequest, Duration aElapsed);
+  void recordAttemptResult(const Request& aRequest,
+                           const TargetAttempt& aAttempt,
+                           AttemptResult aResult);
+  void logFailedAttempt(const Request& aRequest);
   void startStreaming(Request& aRequest);
-  void abandonAttempt(Request& aRequest);
+  void abandonAttempt(const Request& aRequest, const TargetAttempt& aAttempt);
+  void endOtherAttempts(Request& aRequest);
+  void abandonAllAttempts(Request& aRequest);
   void forwardHead(Request& aRequest, ResponseHead aHead);
   void forwardWhole(Request& aRequest, ResponseHead aHead, const std::string& aBody);
 
@@ -279,11 +279,9 @@
   static bool isSuccess(int aStatus) { return aStatus >= 200 && aStatus < 300; }
 
   Request* find(RequestId aId);
+  Request* findAttempt(RequestId aId, AttemptId aAttempt);
   PickQuery makePickQuery(const Request& aRequest) const;
   std::string retryAfter(const Request& aRequest);
-  Duration smoothedLatency(const ServiceName& aService) const;
-  Duration unresponsiveAfter(const Request& aRequest) const;
-  bool isTargetUnresponsive(const Request& aRequest);
 
   HostType& mHost;
   SteeringState& mSteeringState;
@@ -330,6 +328,8 @@
 #include "bulrushrun/steering/RequestProxyQuota.h"
 // Actions of the state machine.
 #include "bulrushrun/steering/RequestProxyActions.h"
+// Retries, and further attempts while a target does not respond.
+#include "bulrushrun/steering/RequestProxyRetry.h"
 // Competition by priority.
 #include "bulrushrun/steering/RequestProxyCompetition.h"
 // Attempts at targets.
--- a/bulrushrun/steering/RequestProxyActions.h
+++ b/bulrushrun/steering/RequestProxyActions.h
@@ -80,16 +80,10 @@
   return query;
 }
 
+/// Chooses the target of the next attempt.
 template<class HostType, class Codec>
-void RequestProxy<HostType, Codec>::dispatch(Request& aRequest)
+PickResult RequestProxy<HostType, Codec>::pickTarget(Request& aRequest)
 {
-  if (endIfCallerLeft(aRequest)) {
-    return;
-  }
-  if (!refreshIdentity(aRequest)) {
-    apply(aRequest.mId, RequestEvent::Refused);
-    return;
-  }
   const TimePoint now = mHost.now();
   PickQuery query = makePickQuery(aRequest);
   query.mTerms = makeTerms(aRequest);
@@ -99,18 +93,35 @@
   if (pick.mPlaced) {
     announcePlacement(aRequest, *pick.mPlaced);
   }
+  return pick;
+}
+
+/// \returns why no target was picked, for the log and the caller.
+template<class HostType, class Codec>
+const char* RequestProxy<HostType, Codec>::describeFailure(const Request& aRequest,
+                                                           const PickResult& aPick)
+{
+  return aRequest.mHomeRegions.isNone() ? "the route and the customer have no home region in common"
+                                        : describe(aPick.mFailure);
+}
+
+/// Makes the first attempt, or refuses the request.
+template<class HostType, class Codec>
+void RequestProxy<HostType, Codec>::dispatch(Request& aRequest)
+{
+  if (endIfCallerLeft(aRequest)) {
+    return;
+  }
+  if (!refreshIdentity(aRequest)) {
+    apply(aRequest.mId, RequestEvent::Refused);
+    return;
+  }
+  const PickResult pick = pickTarget(aRequest);
   if (pick.mTarget == nullptr) {
-    if (aRequest.mReason.empty()) {
-      aRequest.mReason = aRequest.mHomeRegions.isNone()
-                           ? "the route and the customer have no home region in common"
-                           : describe(pick.mFailure);
-    }
+    aRequest.mReason = describeFailure(aRequest, pick);
     apply(aRequest.mId, RequestEvent::Refused);
     return;
   }
-  mRegionShares.add(aRequest.mService,
-                    mSteeringState.mContext.mZones.regionOf(pick.mTarget->mEntry.mZone),
-                    pick.mRegionChoice);
   startAttempt(aRequest, pick);
 }
 
@@ -130,55 +141,6 @@
   }
 }
 
-template<class HostType, class Codec>
-bool RequestProxy<HostType, Codec>::mayRetry(Request& aRequest)
-{
-  if (!refreshIdentity(aRequest)) {
-    return false;
-  }
-  const TimePoint now = mHost.now();
-  const double latency = static_cast<double>(smoothedLatency(aRequest.mService).count());
-  const Duration minRemaining{ static_cast<std::int64_t>(kMinRetryTimeShare * latency) };
-  if (responseDue(aRequest) - now <= minRemaining ||
-      aRequest.mConnectFailures > kMaxConnectFailures ||
-      !canEndBeforeExit(*aRequest.mRoute, aRequest.mDeadline)) {
-    return false;
-  }
-  if (aRequest.mAttempts == 0) {
-    return true;
-  }
-  return aRequest.mAttempts < aRequest.mRoute->mMaxAttempts && hasTokenForRepeat(aRequest) &&
-         mRetryBudgets[aRequest.mService].trySpend(
-           mSteeringState.mRetryBudgetPolicy, mSteeringState.mInstanceCount, now);
-}
-
-template<class HostType, class Codec>
-void RequestProxy<HostType, Codec>::retry(Request& aRequest)
-{
-  if (!mayRetry(aRequest)) {
-    aRequest.mReason += "; no further attempt";
-    apply(aRequest.mId, RequestEvent::Refused);
-    return;
-  }
-  mCounters.mRetryCount += aRequest.mAttempts > 0 ? 1 : 0;
-  dispatch(aRequest);
-}
-
-template<class HostType, class Codec>
-Duration RequestProxy<HostType, Codec>::smoothedLatency(const ServiceName& aService) const
-{
-  const auto found = mLatencies.find(aService);
-  return found == mLatencies.end() ? Duration{ 0 } : found->second;
-}
-
-template<class HostType, class Codec>
-Duration RequestProxy<HostType, Codec>::unresponsiveAfter(const Request& aRequest) const
-{
-  return std::max({ kUnresponsiveLatencyFactor * smoothedLatency(aRequest.mService),
-                    kUnresponsiveTargetFactor * aRequest.mRoute->mLatencyTarget,
-                    kMinUnresponsiveAfter });
-}
-
 template<class HostType, class Codec>
 std::string RequestProxy<HostType, Codec>::retryAfter(const Request& aRequest)
 {
@@ -262,21 +224,23 @@
 void RequestProxy<HostType, Codec>::finish(Request& aRequest, const char* aOutcome, int aStatus)
 {
   mHost.cancelTimer(aRequest.mDeadlineTimer);
+  mHost.cancelTimer(aRequest.mResponseTimer);
   releaseToken(aRequest);
   aRequest.mResponder->mOnDisconnect = nullptr;
   aRequest.mResponder->mOnWritable = nullptr;
   mMetrics.onRequest(
     aRequest.mRoute->mName, aRequest.mService, aOutcome, mHost.now() - aRequest.mArrived);
   const std::string target = aRequest.mAttempt ? aRequest.mAttempt->mTarget.text() : "-";
+  const TargetChoice choice = aRequest.mAttempt ? aRequest.mAttempt->mChoice : TargetChoice{};
   std::array<char, 16> load{};
-  std::snprintf(load.data(), load.size(), "%.1f", aRequest.mLoad);
+  std::snprintf(load.data(), load.size(), "%.1f", choice.mLoad);
   const TimePoint now = mHost.now();
   mHost.log(events::kRequestEnded,
             "id=" + aRequest.mMetadata.mId + " route=" + aRequest.mRoute->mName +
               " version=" + std::to_string(aRequest.mPlan->mVersion.value()) +
               " service=" + aRequest.mService.text() + " target=" + target +
               " object=" + aRequest.mMetadata.mAffinityKey.value_or("-") +
-              " place=" + std::to_string(aRequest.mPreferenceRank) + " load=" + load.data() +
+              " place=" + std::to_string(choice.mPreferenceRank) + " load=" + load.data() +
               " usable=" + std::to_string(aRequest.mUsable) +
               " cold_limited=" + std::to_string(aRequest.mColdLimited) +
               " rate_limited=" + std::to_string(aRequest.mRateLimited) +
--- a/bulrushrun/steering/RequestProxyAdmission.h
+++ b/bulrushrun/steering/RequestProxyAdmission.h
@@ -175,9 +175,10 @@
   const RequestId id = aRequest.mId;
   aRequest.mResponder->mOnDisconnect = [this, id] { onCallerDisconnected(id); };
   aRequest.mResponder->mOnWritable = [this, id] {
-    Request* request = find(id);
-    if (request != nullptr && request->mAttempt) {
-      mHost.resumeExchange(request->mAttempt->mExchange);
+    if (const Request* request = find(id)) {
+      for (const TargetAttempt* attempt : request->attemptsInProgress()) {
+        mHost.resumeExchange(attempt->mExchange);
+      }
     }
   };
 }
@@ -191,7 +192,7 @@
   }
   ++mCounters.mCallersDisconnected;
   request->mReason = "the caller disconnected";
-  abandonAttempt(*request);
+  abandonAllAttempts(*request);
   apply(aId, RequestEvent::CallerDisconnected);
 }
 
@@ -208,6 +209,18 @@
   return isGone;
 }
 
+/// Checks for the caller again once the connection to the target is established.
+/// \returns false when the request was ended
+template<class HostType, class Codec>
+bool RequestProxy<HostType, Codec>::mayStillSend(RequestId aId, AttemptId aAttempt)
+{
+  Request* request = findAttempt(aId, aAttempt);
+  if (request != nullptr && request->mResponder->isDisconnected()) {
+    returnToken(*request);
+  }
+  return request == nullptr || !endIfCallerLeft(*request);
+}
+
 template<class HostType, class Codec>
 void RequestProxy<HostType, Codec>::sweep()
 {
@@ -260,4 +273,14 @@
   return found == mRequests.end() ? nullptr : found->second.get();
 }
 
+/// \returns the request with this attempt as the current one; nullptr when the attempt has ended.
+template<class HostType, class Codec>
+typename RequestProxy<HostType, Codec>::Request* RequestProxy<HostType, Codec>::findAttempt(
+  RequestId aId,
+  AttemptId aAttempt)
+{
+  Request* request = find(aId);
+  return request != nullptr && request->selectAttempt(aAttempt) ? request : nullptr;
+}
+
 } // namespace bulrushrun
--- a/bulrushrun/steering/RequestProxyCompetition.h
+++ b/bulrushrun/steering/RequestProxyCompetition.h
@@ -49,20 +49,14 @@
   mPicker.stats(aSlowdown.mTarget).onSlowdown(aSlowdown.mSlowdown, mHost.now());
 }
 
-/// Keeps the inputs of the choice of a target, for the log and for learning.
+/// Keeps the inputs of the last choice of a target, for the log and for a refusal.
 template<class HostType, class Codec>
 void RequestProxy<HostType, Codec>::onPicked(Request& aRequest, const PickResult& aPick)
 {
   aRequest.mUsable = aPick.mUsable;
   aRequest.mColdLimited = aPick.mColdLimited;
   aRequest.mRateLimited = aPick.mRateLimited;
-  aRequest.mLoad = aPick.mLoad;
-  aRequest.mPreferenceRank = aPick.mPreferenceRank;
-  aRequest.mExpected = aPick.mExpected;
   aRequest.mUntilRoom = aPick.mUntilRoom;
-  aRequest.mIsWarm = aPick.mIsWarm;
-  aRequest.mSlowdown = aPick.mSlowdown;
-  aRequest.mSlots = aPick.mTarget == nullptr ? 0 : aPick.mTarget->mEntry.mSlots;
   aRequest.mPickFailure = aPick.mFailure;
   if (aPick.mExpected) {
     mAdmissionMetrics.onSent(aRequest.mService, *aPick.mExpected);
@@ -73,13 +67,14 @@
 template<class HostType, class Codec>
 void RequestProxy<HostType, Codec>::recordExecution(const Request& aRequest, Duration aElapsed)
 {
-  if (aRequest.mLevel && aRequest.mSlots > 0) {
-    if (aRequest.mExpected) {
-      mAdmissionMetrics.onCompleted(aRequest.mService, *aRequest.mExpected, aElapsed);
+  const TargetChoice& choice = aRequest.mAttempt->mChoice;
+  if (aRequest.mLevel && choice.mSlots > 0) {
+    if (choice.mExpected) {
+      mAdmissionMetrics.onCompleted(aRequest.mService, *choice.mExpected, aElapsed);
     }
     ExecutionTimeLearner& learner = mExecutionTimes[aRequest.mRoute->mName];
     mQueuedTimes[aRequest.mService].add(
-      learner.add(aElapsed, aRequest.mLoad, aRequest.mSlots, aRequest.mIsWarm, aRequest.mSlowdown));
+      learner.add(aElapsed, choice.mLoad, choice.mSlots, choice.mIsWarm, choice.mSlowdown));
   }
 }
 
@@ -126,8 +121,10 @@
   if (!aRequest.mLevel) {
     return {};
   }
-  return " priority=" + std::to_string(aRequest.mPriority) + " expected_ms=" +
-         (aRequest.mExpected ? std::to_string(toMillis(*aRequest.mExpected)) : "-") +
+  const std::optional<Duration> expected =
+    aRequest.mAttempt ? aRequest.mAttempt->mChoice.mExpected : std::nullopt;
+  return " priority=" + std::to_string(aRequest.mPriority) +
+         " expected_ms=" + (expected ? std::to_string(toMillis(*expected)) : "-") +
          (aRequest.mIsEarlyRepeat ? " early_repeat=1" : "");
 }
 
--- a/bulrushrun/steering/RequestProxyExchange.h
+++ b/bulrushrun/steering/RequestProxyExchange.h
@@ -12,13 +12,18 @@
 {
   const TimePoint now = mHost.now();
   const TargetEntry& target = aPick.mTarget->mEntry;
+  mRegionShares.add(
+    aRequest.mService, mSteeringState.mContext.mZones.regionOf(target.mZone), aPick.mRegionChoice);
   aRequest.mTriedTargets.insert(target.mId);
-  aRequest.mAttempt = TargetAttempt{};
-  aRequest.mAttempt->mTarget = target.mId;
-  aRequest.mAttempt->mZone = target.mZone;
-  aRequest.mAttempt->mIncarnation = target.mIncarnation;
-  aRequest.mAttempt->mHomeRegions = aRequest.mHomeRegions;
-  aRequest.mAttempt->mStarted = now;
+  TargetAttempt& attempt = aRequest.addAttempt();
+  attempt.mTarget = target.mId;
+  attempt.mZone = target.mZone;
+  attempt.mIncarnation = target.mIncarnation;
+  attempt.mHomeRegions = aRequest.mHomeRegions;
+  attempt.mChoice = { aPick.mPreferenceRank, aPick.mLoad,     target.mSlots,
+                      aPick.mIsWarm,         aPick.mSlowdown, aPick.mExpected };
+  attempt.mStarted = now;
+  attempt.mTokenTakenAt = std::exchange(aRequest.mTokenTakenAt, {});
   aRequest.mStateMachine.apply(RequestEvent::Dispatched);
   mPicker.stats(target.mId).onAttemptStarted(now);
   ++mCounters.mAttempts;
@@ -30,55 +35,23 @@
     Codec::setCustomerHeaders(request.mHeaders, aRequest.mCustomer);
   }
   if (aRequest.mRoute->mIdempotent) {
-    const RequestId id = aRequest.mId;
-    const int attemptNumber = ++aRequest.mStartedAttempts;
-    mHost.after(unresponsiveAfter(aRequest),
-                [this, id, attemptNumber] { onResponseTimeout(id, attemptNumber); });
+    scheduleResponseCheck(aRequest, unresponsiveAfter(aRequest));
   }
   // On a kept connection, a late response to the first attempt would have the id of this one.
   const bool isFirstHere = aRequest.mTriedEndpoints.insert(target.mEndpoint).second;
-  aRequest.mAttempt->mExchange =
-    mHost.startExchange(target.mEndpoint,
-                        std::move(request),
-                        isFirstHere ? ConnectionUse::Pooled : ConnectionUse::New,
-                        listener(aRequest.mId));
+  attempt.mExchange = mHost.startExchange(target.mEndpoint,
+                                          std::move(request),
+                                          isFirstHere ? ConnectionUse::Pooled : ConnectionUse::New,
+                                          listener(aRequest.mId, attempt.mId));
 }
 
-/// The target responded neither to this request nor to others for a while, so it may have failed
-/// without closing its connections. Retries the request at another target if that is permitted.
 template<class HostType, class Codec>
-void RequestProxy<HostType, Codec>::onResponseTimeout(RequestId aId, int aAttemptNumber)
+void RequestProxy<HostType, Codec>::onHead(RequestId aId,
+                                           AttemptId aAttempt,
+                                           const ResponseHead& aHead)
 {
-  Request* request = find(aId);
-  if (request == nullptr || !request->mAttempt || request->mStartedAttempts != aAttemptNumber ||
-      request->mStateMachine.state() != RequestState::Sending || request->mAttempt->mHead) {
-    return;
-  }
-  const TimePoint now = mHost.now();
-  if (!isTargetUnresponsive(*request)) {
-    return;
-  }
-  // The abandoned attempt counts, too.
-  request->mTokenTakenAt.reset();
-  ++request->mAttempts;
-  if (!mayRetry(*request)) {
-    --request->mAttempts;
-    return;
-  }
-  mHost.abortExchange(request->mAttempt->mExchange);
-  request->mReason = "the target is unresponsive";
-  recordAttemptResult(*request, AttemptResult::Broken);
-  logFailedAttempt(*request, now - request->mAttempt->mStarted);
-  ++mCounters.mRetryCount;
-  request->mStateMachine.apply(RequestEvent::ExchangeFailed);
-  dispatch(*request);
-}
-
-template<class HostType, class Codec>
-void RequestProxy<HostType, Codec>::onHead(RequestId aId, const ResponseHead& aHead)
-{
-  Request* request = find(aId);
-  if (request == nullptr || !request->mAttempt) {
+  Request* request = findAttempt(aId, aAttempt);
+  if (request == nullptr) {
     return;
   }
   TargetAttempt& attempt = *request->mAttempt;
@@ -105,10 +78,12 @@
 }
 
 template<class HostType, class Codec>
-bool RequestProxy<HostType, Codec>::onBody(RequestId aId, std::string_view aBytes)
+bool RequestProxy<HostType, Codec>::onBody(RequestId aId,
+                                           AttemptId aAttempt,
+                                           std::string_view aBytes)
 {
-  Request* request = find(aId);
-  if (request == nullptr || !request->mAttempt) {
+  Request* request = findAttempt(aId, aAttempt);
+  if (request == nullptr) {
     return true;
   }
   TargetAttempt& attempt = *request->mAttempt;
@@ -129,7 +104,7 @@
     // A response that waits for its turn holds what has been read, and nothing more.
     return !request->mResponder->isWaiting();
   }
-  const bool mayCollect = request->mResponder->mayCollect(attempt.mBody.size());
+  const bool mayCollect = request->mResponder->mayCollect(request->bufferedBytes());
   // A pause after the last byte would delay the end of the attempt, and its time would count as the
   // target's.
   const std::optional<std::uint64_t>& length = attempt.mHead->mLength;
@@ -140,8 +115,9 @@
 template<class HostType, class Codec>
 void RequestProxy<HostType, Codec>::interruptAttempt(Request& aRequest, const char* aReason)
 {
-  mHost.abortExchange(aRequest.mAttempt->mExchange);
-  onEnd(aRequest.mId, ExchangeResult::Interrupted, aReason);
+  const TargetAttempt& attempt = *aRequest.mAttempt;
+  mHost.abortExchange(attempt.mExchange);
+  onEnd(aRequest.mId, attempt.mId, ExchangeResult::Interrupted, aReason);
 }
 
 template<class HostType, class Codec>
@@ -168,6 +144,7 @@
 template<class HostType, class Codec>
 void RequestProxy<HostType, Codec>::startStreaming(Request& aRequest)
 {
+  endOtherAttempts(aRequest);
   aRequest.mStateMachine.apply(RequestEvent::ResponseHeadReceived);
   aRequest.mStreaming = true;
   forwardHead(aRequest, *aRequest.mAttempt->mHead);
@@ -176,16 +153,16 @@
 
 template<class HostType, class Codec>
 void RequestProxy<HostType, Codec>::onEnd(RequestId aId,
+                                          AttemptId aAttempt,
                                           ExchangeResult aExchangeResult,
                                           const std::string& aReason)
 {
-  Request* request = find(aId);
-  if (request == nullptr || !request->mAttempt) {
+  Request* request = findAttempt(aId, aAttempt);
+  if (request == nullptr) {
     return;
   }
-  const TimePoint now = mHost.now();
   TargetAttempt& attempt = *request->mAttempt;
-  const Duration elapsed = now - attempt.mStarted;
+  attempt.mIsInProgress = false;
   if (aExchangeResult == ExchangeResult::Complete) {
     ++request->mAttempts;
     onComplete(*request);
@@ -193,21 +170,24 @@
   }
   const bool notConnected = aExchangeResult == ExchangeResult::NotSent;
   ++(notConnected ? request->mConnectFailures : request->mAttempts);
-  if (!notConnected) {
-    request->mTokenTakenAt.reset();
+  if (notConnected) {
+    returnToken(*request);
   }
-  recordAttemptResult(*request, notConnected ? AttemptResult::Unreachable : AttemptResult::Broken);
+  recordAttemptResult(
+    *request, attempt, notConnected ? AttemptResult::Unreachable : AttemptResult::Broken);
   request->mReason = aReason;
-  logFailedAttempt(*request, elapsed);
+  logFailedAttempt(*request);
   apply(aId, notConnected ? RequestEvent::ConnectFailed : RequestEvent::ExchangeFailed);
 }
 
 template<class HostType, class Codec>
-void RequestProxy<HostType, Codec>::logFailedAttempt(const Request& aRequest, Duration aElapsed)
+void RequestProxy<HostType, Codec>::logFailedAttempt(const Request& aRequest)
 {
+  const TargetAttempt& attempt = *aRequest.mAttempt;
   mHost.log(events::kSendFailed,
-            "id=" + aRequest.mMetadata.mId + " target=" + aRequest.mAttempt->mTarget.text() +
-              " reason=\"" + aRequest.mReason + "\" ms=" + std::to_string(toMillis(aElapsed)));
+            "id=" + aRequest.mMetadata.mId + " target=" + attempt.mTarget.text() + " reason=\"" +
+              aRequest.mReason +
+              "\" ms=" + std::to_string(toMillis(mHost.now() - attempt.mStarted)));
 }
 
 /// Handles a complete response. A request that may run again is retried after an error of the
@@ -215,22 +195,22 @@
 template<class HostType, class Codec>
 void RequestProxy<HostType, Codec>::onComplete(Request& aRequest)
 {
-  const TimePoint now = mHost.now();
   const RequestId id = aRequest.mId;
   TargetAttempt& attempt = *aRequest.mAttempt;
-  const Duration elapsed = now - attempt.mStarted;
+  const Duration elapsed = mHost.now() - attempt.mStarted;
   const int status = attempt.mHead->mStatus;
   if (isDeclined(aRequest)) {
+    returnToken(aRequest);
     const bool full = attempt.mMetadata.mLoad && attempt.mMetadata.mLoad->isFull();
-    recordAttemptResult(aRequest, full ? AttemptResult::Full : AttemptResult::Declined);
+    recordAttemptResult(aRequest, attempt, full ? AttemptResult::Full : AttemptResult::Declined);
     aRequest.mReason = "the target declined with status " + std::to_string(status);
-    logFailedAttempt(aRequest, elapsed);
+    logFailedAttempt(aRequest);
     apply(id, RequestEvent::TargetDeclined);
     return;
   }
-  aRequest.mTokenTakenAt.reset();
   const bool failed = status >= 500;
-  recordAttemptResult(aRequest, failed ? AttemptResult::FailedAnswer : AttemptResult::Answered);
+  recordAttemptResult(
+    aRequest, attempt, failed ? AttemptResult::FailedAnswer : AttemptResult::Answered);
   if (!failed) {
     recordRunTime(aRequest, elapsed);
     recordExecution(aRequest, elapsed);
@@ -240,11 +220,12 @@
   }
   if (failed && !aRequest.mStreaming && aRequest.mRoute->mIdempotent) {
     aRequest.mReason = "the target failed with status " + std::to_string(status);
-    logFailedAttempt(aRequest, elapsed);
+    logFailedAttempt(aRequest);
     aRequest.mErrorResponse = HttpResponse{ *attempt.mHead, std::move(attempt.mBody) };
     apply(id, RequestEvent::ExchangeFailed);
     return;
   }
+  endOtherAttempts(aRequest);
   if (!aRequest.mStreaming) {
     aRequest.mStateMachine.apply(RequestEvent::ResponseHeadReceived);
     forwardWhole(aRequest, *attempt.mHead, attempt.mBody);
@@ -252,29 +233,36 @@
   apply(id, RequestEvent::ResponseComplete);
 }
 
-/// \returns true when the target responded neither to this request nor to others in time.
+/// Aborts an attempt in progress.
 template<class HostType, class Codec>
-bool RequestProxy<HostType, Codec>::isTargetUnresponsive(const Request& aRequest)
+void RequestProxy<HostType, Codec>::abandonAttempt(const Request& aRequest,
+                                                   const TargetAttempt& aAttempt)
 {
-  return !aRequest.mAttempt->mHead && mPicker.stats(aRequest.mAttempt->mTarget)
-                                        .isUnresponsive(unresponsiveAfter(aRequest), mHost.now());
+  mHost.abortExchange(aAttempt.mExchange);
+  if (isTargetUnresponsive(aRequest, aAttempt)) {
+    recordAttemptResult(aRequest, aAttempt, AttemptResult::Broken);
+  } else {
+    mPicker.stats(aAttempt.mTarget).onCancelled();
+  }
 }
 
+/// Aborts the other attempts once the response of one is forwarded.
 template<class HostType, class Codec>
-void RequestProxy<HostType, Codec>::abandonAttempt(Request& aRequest)
+void RequestProxy<HostType, Codec>::endOtherAttempts(Request& aRequest)
 {
-  const RequestState state = aRequest.mStateMachine.state();
-  if (!aRequest.mAttempt ||
-      (state != RequestState::Sending && state != RequestState::StreamingResponse)) {
-    return;
+  for (const TargetAttempt& attempt : std::exchange(aRequest.mOtherAttempts, {})) {
+    ++aRequest.mAttempts;
+    abandonAttempt(aRequest, attempt);
   }
-  aRequest.mTokenTakenAt.reset();
-  mHost.abortExchange(aRequest.mAttempt->mExchange);
-  if (isTargetUnresponsive(aRequest)) {
-    recordAttemptResult(aRequest, AttemptResult::Broken);
-  } else {
-    mPicker.stats(aRequest.mAttempt->mTarget).onCancelled();
+}
+
+template<class HostType, class Codec>
+void RequestProxy<HostType, Codec>::abandonAllAttempts(Request& aRequest)
+{
+  if (aRequest.mAttempt && std::exchange(aRequest.mAttempt->mIsInProgress, false)) {
+    abandonAttempt(aRequest, *aRequest.mAttempt);
   }
+  endOtherAttempts(aRequest);
 }
 
 template<class HostType, class Codec>
@@ -284,7 +272,7 @@
   if (request == nullptr) {
     return;
   }
-  abandonAttempt(*request);
+  abandonAllAttempts(*request);
   request->mReason = aReason;
   apply(aId, RequestEvent::DeadlinePassed);
 }
--- a/bulrushrun/steering/RequestProxyOrigin.h
+++ b/bulrushrun/steering/RequestProxyOrigin.h
@@ -8,22 +8,24 @@
 namespace bulrushrun {
 
 template<class HostType, class Codec>
-ExchangeListener RequestProxy<HostType, Codec>::listener(RequestId aId)
+ExchangeListener RequestProxy<HostType, Codec>::listener(RequestId aId, AttemptId aAttempt)
 {
   ExchangeListener listener;
   listener.mBodyMayEndAtClose = true;
-  listener.mBeforeSend = [this, aId] {
-    Request* request = find(aId);
-    return request == nullptr || !endIfCallerLeft(*request);
-  };
-  listener.mIsMatchingResponse = [this, aId](const ResponseHead& aHead) {
-    const Request* request = find(aId);
+  listener.mBeforeSend = [this, aId, aAttempt] { return mayStillSend(aId, aAttempt); };
+  listener.mIsMatchingResponse = [this, aId, aAttempt](const ResponseHead& aHead) {
+    const Request* request = findAttempt(aId, aAttempt);
     return request == nullptr || isMatching(*request, aHead);
   };
-  listener.mOnHead = [this, aId](const ResponseHead& aHead) { onHead(aId, aHead); };
-  listener.mOnBody = [this, aId](std::string_view aBytes) { return onBody(aId, aBytes); };
-  listener.mOnEnd = [this, aId](ExchangeResult aExchangeResult, const std::string& aReason) {
-    onEnd(aId, aExchangeResult, aReason);
+  listener.mOnHead = [this, aId, aAttempt](const ResponseHead& aHead) {
+    onHead(aId, aAttempt, aHead);
+  };
+  listener.mOnBody = [this, aId, aAttempt](std::string_view aBytes) {
+    return onBody(aId, aAttempt, aBytes);
+  };
+  listener.mOnEnd = [this, aId, aAttempt](ExchangeResult aExchangeResult,
+                                          const std::string& aReason) {
+    onEnd(aId, aAttempt, aExchangeResult, aReason);
   };
   return listener;
 }
--- a/bulrushrun/steering/RequestProxyQuota.h
+++ b/bulrushrun/steering/RequestProxyQuota.h
@@ -99,6 +99,18 @@
   }
 }
 
+/// Takes back the token of the current attempt, which has not used it.
+template<class HostType, class Codec>
+void RequestProxy<HostType, Codec>::returnToken(Request& aRequest)
+{
+  const std::optional<TimePoint> takenAt =
+    std::exchange(aRequest.mAttempt->mTokenTakenAt, std::nullopt);
+  if (takenAt) {
+    releaseToken(aRequest);
+    aRequest.mTokenTakenAt = takenAt;
+  }
+}
+
 /// Refuses the requests that wait for tokens, in a planned stop.
 template<class HostType, class Codec>
 void RequestProxy<HostType, Codec>::refuseWaiting()
--- a/bulrushrun/steering/RequestProxyTargetUpdates.h
+++ b/bulrushrun/steering/RequestProxyTargetUpdates.h
@@ -102,11 +102,12 @@
 /// Updates the target's health statistics with the result of an attempt.
 template<class HostType, class Codec>
 void RequestProxy<HostType, Codec>::recordAttemptResult(const Request& aRequest,
+                                                        const TargetAttempt& aAttempt,
                                                         AttemptResult aResult)
 {
   const TimePoint now = mHost.now();
-  TargetStats& stats = mPicker.stats(aRequest.mAttempt->mTarget);
-  const std::string text = "target=" + aRequest.mAttempt->mTarget.text() +
+  TargetStats& stats = mPicker.stats(aAttempt.mTarget);
+  const std::string text = "target=" + aAttempt.mTarget.text() +
                            " service=" + aRequest.mService.text() + " id=" + aRequest.mMetadata.mId;
   switch (stats.onEnd(aResult, now)) {
     case TargetStats::HealthChange::Ejected:
--- a/bulrushrun/steering/TargetStats.h
+++ b/bulrushrun/steering/TargetStats.h
@@ -91,8 +91,14 @@
   /// \brief \returns how long work is expected to take, as a multiple of the usual time; 1 without
   /// a recent report.
   double slowdown(TimePoint aNow) const;
-  /// \brief \returns true when requests are in progress and the target has not responded for the
-  /// timeout.
+  /// \brief \returns for how long, while requests of this instance are in progress, the target has
+  /// responded neither to them nor, as far as was reported, to those of other instances.
+  Duration silence(TimePoint aNow) const
+  {
+    return mInFlight > 0 ? aNow - std::max(mLastActivityAt, mReportedAt) : Duration{ 0 };
+  }
+  /// \brief \returns true when requests are in progress and the target has not responded to this
+  /// instance for the timeout. It may be unreachable from here only.
   bool isUnresponsive(Duration aTimeout, TimePoint aNow) const
   {
     return mInFlight > 0 && aNow - mLastActivityAt >= aTimeout;
--- a/bulrushrun/steering/tests/RequestProxyTest.cpp
+++ b/bulrushrun/steering/tests/RequestProxyTest.cpp
@@ -207,10 +207,12 @@
     mSimulation.sendRequest("n1", "id-1", "object");
   const std::string unresponsive = targetOf(mSimulation.targetExchanges().front());
   mSimulation.run(std::chrono::milliseconds(900));
-  ASSERT_EQ(mSimulation.targetExchanges().size(), 1U);
-  EXPECT_NE(targetOf(mSimulation.targetExchanges().front()), unresponsive);
-  mSimulation.respondOk(mSimulation.targetExchanges().front());
+  ASSERT_EQ(mSimulation.targetExchanges().size(), 2U) << "the first target may be at work on it";
+  EXPECT_EQ(targetOf(mSimulation.targetExchanges().front()), unresponsive);
+  EXPECT_NE(targetOf(mSimulation.targetExchanges().back()), unresponsive);
+  mSimulation.respondOk(mSimulation.targetExchanges().back());
   EXPECT_EQ(caller->mHead.mStatus, 200);
+  EXPECT_TRUE(mSimulation.targetExchanges().empty());
 }
 
 TEST_F(UnresponsiveTargetTest, GetsNoMoreRequests)
--- a/ctl/Trace.cpp
+++ b/ctl/Trace.cpp
@@ -201,6 +201,13 @@
     if (isEvent(line, events::kSendFailed)) {
       conclusions.push_back("An attempt at " + line.field("target") + " failed after " +
                             line.field("ms") + " ms: " + line.field("reason") + ".");
+    } else if (isEvent(line, events::kTargetSilent)) {
+      const std::string next = line.field("next");
+      conclusions.push_back(line.field("target") + " had not responded after " + line.field("ms") +
+                            " ms; the request stayed there, and " +
+                            (next == "-" ? "no further target got it: " + line.field("reason")
+                                         : next + " got it, too") +
+                            ".");
     }
   }
   if (end->number("news_age_ms") > kStaleMillis) {
