Silence counts against a target only once a usual latency is known

What callers saw: nothing that is proved by itself. An instance that had just started ejected and avoided targets whose requests waited in their queues for 0.8 s, and then had fewer targets for the next requests.

Cause: without a usual latency the limit is its minimum, and silence beyond it counted as a broken attempt; two of them eject a target.

Change: before a first response of the service, silence neither ejects a target nor keeps it from the choice. A further target still gets the request.

Evidence: SilentTargetTest.CountsAgainstTheTargetOnlyOnceAUsualLatencyIsKnown failed before (target-ejected) and passes now.

--- a/bulrushrun/steering/RequestProxy.h
+++ b/bulrushrun/steering/RequestProxy.h
@@ -231,6 +231,7 @@
   void scheduleResponseCheck(Request& aRequest, Duration aDelay);
   void checkResponse(RequestId aId);
   Duration smoothedLatency(const ServiceName& aService) const;
+  bool hasUsualLatency(const ServiceName& aService) const;
   Duration unresponsiveAfter(const Request& aRequest) const;
   bool isTargetUnresponsive(const Request& aRequest, const TargetAttempt& aAttempt);
 
--- a/bulrushrun/steering/RequestProxyActions.h
+++ b/bulrushrun/steering/RequestProxyActions.h
@@ -76,7 +76,8 @@
                            mSteeringState.mColdSlack;
     query.mColdStartDuration = servicePolicy->mColdStartDuration;
   }
-  query.mUnresponsiveAfter = unresponsiveAfter(aRequest);
+  query.mUnresponsiveAfter =
+    hasUsualLatency(aRequest.mService) ? unresponsiveAfter(aRequest) : Duration::max();
   return query;
 }
 
--- a/bulrushrun/steering/RequestProxyRetry.h
+++ b/bulrushrun/steering/RequestProxyRetry.h
@@ -123,6 +123,12 @@
   return found == mLatencies.end() ? Duration{ 0 } : found->second;
 }
 
+template<class HostType, class Codec>
+bool RequestProxy<HostType, Codec>::hasUsualLatency(const ServiceName& aService) const
+{
+  return mLatencies.contains(aService);
+}
+
 template<class HostType, class Codec>
 Duration RequestProxy<HostType, Codec>::unresponsiveAfter(const Request& aRequest) const
 {
@@ -132,12 +138,12 @@
 }
 
 /// \returns true when the target responded neither to this request nor to others for unusually
-/// long.
+/// long. Before a usual latency is known, silence is no evidence.
 template<class HostType, class Codec>
 bool RequestProxy<HostType, Codec>::isTargetUnresponsive(const Request& aRequest,
                                                          const TargetAttempt& aAttempt)
 {
-  return !aAttempt.mHead &&
+  return !aAttempt.mHead && hasUsualLatency(aRequest.mService) &&
          mPicker.stats(aAttempt.mTarget).isUnresponsive(unresponsiveAfter(aRequest), mHost.now());
 }
 
--- a/bulrushrun/steering/tests/SilentTargetTest.cpp
+++ b/bulrushrun/steering/tests/SilentTargetTest.cpp
@@ -370,5 +370,20 @@
   expectAnswer("late");
 }
 
+/// Guards against targets that an instance avoids after its start, when it can't tell yet whether
+/// their work takes unusually long.
+TEST_F(SilentTargetTest, CountsAgainstTheTargetOnlyOnceAUsualLatencyIsKnown)
+{
+  start();
+  for (int i = 0; i < 3; ++i) {
+    const std::shared_ptr<RecordingResponder> caller =
+      mSimulation.sendRequest("n1", "early-" + std::to_string(i), "object");
+    mSimulation.run(2 * kLongSilence);
+    caller->mDisconnected = true;
+    mSimulation.run(std::chrono::milliseconds(300));
+  }
+  EXPECT_EQ(logged("target-ejected"), 0U);
+}
+
 } // namespace
 } // namespace bulrushrun::steering_test
