--- a/bulrushrun/forwarding/tests/RequestStateMachineTest.cpp
+++ b/bulrushrun/forwarding/tests/RequestStateMachineTest.cpp
@@ -192,6 +192,33 @@
     });
 }
 
+/// Guards against an end of a request, or a promise that it has not run, while a target has it.
+TEST(ParallelAttempts, OneThatFailsLeavesTheOthersInProgress)
+{
+  RequestStateMachine machine =
+    after(RetryPolicy::Unrestricted, { E::Admitted, E::Dispatched, E::Dispatched, E::Dispatched });
+  EXPECT_EQ(machine.apply(E::TargetDeclined), A::Retry);
+  EXPECT_EQ(machine.state(), RequestState::Sending);
+  EXPECT_EQ(machine.apply(E::Refused), A::Reject) << "two targets may be at work";
+  EXPECT_EQ(machine.apply(E::ExchangeFailed), A::Retry);
+  EXPECT_EQ(machine.apply(E::Refused), A::Reject);
+  EXPECT_EQ(machine.apply(E::TargetDeclined), A::Retry);
+  EXPECT_EQ(machine.state(), RequestState::Queued);
+  EXPECT_EQ(machine.apply(E::Refused), A::RespondFailed) << "one of them may have run it";
+}
+
+/// Guards against a second execution of a request that may run once only.
+TEST(ParallelAttempts, AreRejectedUnlessTheRequestMayRunAgain)
+{
+  for (const RetryPolicy policy : { RetryPolicy::KeyProtected,
+                                    RetryPolicy::AtMostOnceClaimed,
+                                    RetryPolicy::AtMostOnceUnclaimed }) {
+    RequestStateMachine machine = after(policy, { E::Admitted, E::ClaimAcquired, E::Dispatched });
+    ASSERT_EQ(machine.state(), RequestState::Sending);
+    EXPECT_EQ(machine.apply(E::Dispatched), A::Reject);
+  }
+}
+
 /// A request that only one instance receives and that must be executed at most once.
 TEST(AnUnclaimedRequest, IsSentWithoutAClaimAndNotRetriedAfterAFailedExchange)
 {
--- a/bulrushrun/limits/tests/FleetQuotasTest.cpp
+++ b/bulrushrun/limits/tests/FleetQuotasTest.cpp
@@ -67,6 +67,18 @@
   EXPECT_TRUE(share.trySpend(policy, 1, now));
 }
 
+/// Guards against retries that a question about the budget uses up.
+TEST(RetryBudgetShareTest, IsNotSpentByAQuestion)
+{
+  const RetryBudgetPolicy policy{ 0, 1.25, std::chrono::seconds(10) };
+  RetryBudgetShare share;
+  const TimePoint now{ std::chrono::seconds(50) };
+  EXPECT_TRUE(share.maySpend(policy, 1, now));
+  EXPECT_TRUE(share.maySpend(policy, 1, now));
+  EXPECT_TRUE(share.trySpend(policy, 1, now));
+  EXPECT_FALSE(share.maySpend(policy, 1, now));
+}
+
 TEST(ColdTargetRateLimit, HoldsForTheSumOfTheInstancesOfAZone)
 {
   constexpr std::size_t kZoneInstances = 3;
--- a/ctl/tests/TraceTest.cpp
+++ b/ctl/tests/TraceTest.cpp
@@ -104,6 +104,29 @@
             std::string::npos);
 }
 
+/// Guards against a late answer whose cause the operator can't find.
+TEST(SilentTargetTraceTest, TellsWhereElseTheRequestWasSent)
+{
+  Trace trace{ "id-1" };
+  const std::string prefix = "2026-12-07 14:00:00.000 INFO  n1 ";
+  trace.addRequestLine(*parseLogLine(
+    prefix +
+    "BR-8008 target-silent id=id-1 target=t1 ms=800 next=- reason=\"all targets are busy\""));
+  trace.addRequestLine(
+    *parseLogLine(prefix + "BR-8008 target-silent id=id-1 target=t1 ms=1050 next=t2"));
+  trace.addRequestLine(*parseLogLine(
+    prefix + "BR-8001 request-ended id=id-1 sends=2 outcome=answered status=200 ms=1400"));
+  const std::string text = trace.text();
+  EXPECT_NE(text.find("t1 had not responded after 800 ms; the request stayed there, and no further "
+                      "target got it: all targets are busy."),
+            std::string::npos)
+    << text;
+  EXPECT_NE(text.find("t1 had not responded after 1050 ms; the request stayed there, and t2 got "
+                      "it, too."),
+            std::string::npos)
+    << text;
+}
+
 /// Lines as log collectors deliver them, with a prefix of their own.
 TEST(LogLineTest, ParsesQuotedFieldsAfterAPrefix)
 {
