--- a/review/common-3/tests/Rig.h
+++ b/review/common-3/tests/Rig.h
@@ -11,6 +11,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -365,6 +366,8 @@
          "max_shift: 0.15 }\n";
     const pid_t process = ::fork();
     if (process == 0) {
+      // Ends with this program, also when that is ended by its time limit.
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);
       const int log = ::open((stem + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       ::dup2(log, 1);
       ::dup2(log, 2);
